--- /dev/null
+++ b/crates/adapter/src/host.rs
@@ -0,0 +1,494 @@
+//! The instances of one process: each event becomes a call of its decisions, each decision a line.
+
+use crate::start::{self, Names};
+use crate::wire::{micros, seconds, Complaint, Fields};
+use base64::{engine::general_purpose::STANDARD, Engine as _};
+use cleatgw::logic::Gateway;
+use cleatgw::{Ending, Listing, Load, Note, PushEnd, Stage, Taken, Writer};
+use std::collections::HashMap;
+use std::fmt::Write as _;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+
+/// A job's name on the wire, and whether it may still be heard of.
+struct JobName {
+    id: u64,
+    out: u32,
+    over: bool,
+}
+
+#[derive(Default)]
+struct Ids {
+    jobs: HashMap<usize, JobName>,
+    job_of: HashMap<u64, usize>,
+    next_job: usize,
+    engines: Vec<String>,
+    engine_of: HashMap<String, usize>,
+}
+
+impl Ids {
+    fn drop_if_done(&mut self, job: usize) {
+        if self.jobs.get(&job).is_some_and(|name| name.over && name.out == 0) {
+            let id = self.jobs.remove(&job).expect("just seen").id;
+            self.job_of.remove(&id);
+        }
+    }
+
+    fn over(&mut self, job: usize) {
+        if let Some(name) = self.jobs.get_mut(&job) {
+            name.over = true;
+        }
+        self.drop_if_done(job);
+    }
+
+    fn engine(&mut self, address: &str) -> usize {
+        if let Some(&engine) = self.engine_of.get(address) {
+            return engine;
+        }
+        self.engines.push(address.to_string());
+        self.engine_of.insert(address.to_string(), self.engines.len() - 1);
+        self.engines.len() - 1
+    }
+}
+
+struct Instance {
+    gateway: Gateway,
+    names: Names,
+    ids: Ids,
+}
+
+/// Encodes one instance's decisions as they are made.
+struct Pen<'a> {
+    instance: &'a str,
+    ids: &'a mut Ids,
+    reply: &'a mut String,
+}
+
+fn write_line(reply: &mut String, words: std::fmt::Arguments) {
+    reply.write_fmt(words).expect("a string takes all");
+    reply.push('\n');
+}
+
+impl Pen<'_> {
+    fn id(&self, job: usize) -> Option<u64> {
+        self.ids.jobs.get(&job).map(|name| name.id)
+    }
+}
+
+impl Writer for Pen<'_> {
+    fn terms(&mut self, job: usize, lane: u8, memory_mb: f64) {
+        let Some(id) = self.id(job) else { return };
+        write_line(self.reply, format_args!("PROVIDE {} {id} {lane} {:.1}", self.instance, memory_mb));
+    }
+
+    fn push(&mut self, job: usize, engine: usize, time_out: Option<f64>) {
+        let Some(name) = self.ids.jobs.get_mut(&job) else { return };
+        name.out += 1;
+        let (id, time_out) = (name.id, time_out.map_or(0, |limit| micros(limit).max(1)));
+        let address = self.ids.engines[engine].clone();
+        write_line(self.reply, format_args!("ASSIGN {} {id} {time_out} {address}", self.instance));
+    }
+
+    fn call_off(&mut self, job: usize, push: u32) {
+        let Some(id) = self.id(job) else { return };
+        write_line(self.reply, format_args!("WITHDRAW {} {id} {push}", self.instance));
+    }
+
+    fn turn_back(&mut self, job: usize, come_back_in: Option<f64>) {
+        let Some(id) = self.id(job) else { return };
+        let wait = come_back_in.map_or(0, micros);
+        write_line(self.reply, format_args!("NOT_NOW {} {id} {wait}", self.instance));
+        self.ids.over(job);
+    }
+
+    fn terminate(&mut self, job: usize) {
+        let Some(id) = self.id(job) else { return };
+        write_line(self.reply, format_args!("DROP_REQUEST {} {id}", self.instance));
+        self.ids.over(job);
+    }
+
+    fn watch(&mut self, on: bool) {
+        write_line(self.reply, format_args!("LISTEN {} {}", self.instance, u8::from(on)));
+    }
+
+    fn fetch(&mut self) {
+        write_line(self.reply, format_args!("RESOLVE {}", self.instance));
+    }
+
+    fn probe(&mut self, engine: usize) {
+        let address = self.ids.engines[engine].clone();
+        write_line(self.reply, format_args!("HEALTH_CHECK {} {address}", self.instance));
+    }
+
+    fn close(&mut self, engine: usize) {
+        let address = self.ids.engines[engine].clone();
+        write_line(self.reply, format_args!("CLOSE {} {address}", self.instance));
+    }
+
+    fn tell(&mut self, peer: Option<usize>, content: &[u8]) {
+        let peer = peer.map_or("*".to_string(), |number| number.to_string());
+        let content = if content.is_empty() { "-".to_string() } else { STANDARD.encode(content) };
+        write_line(self.reply, format_args!("POST {} {peer} {content}", self.instance));
+    }
+
+    fn wake(&mut self, at: f64) {
+        write_line(self.reply, format_args!("NOTIFY_ME {} due {}", self.instance, (at * 1e6).ceil() as u64));
+    }
+
+    fn log(&mut self, line: &str) {
+        write_line(self.reply, format_args!("TRACE {} {}", self.instance, line.replace('\n', " ")));
+    }
+}
+
+struct Entry {
+    address: String,
+    zone: String,
+    kind: String,
+    stage: Stage,
+    cell: u64,
+    since: Option<f64>,
+}
+
+/// All that one process holds.
+#[derive(Default)]
+pub struct Host {
+    now: f64,
+    batch: u64,
+    in_batch: bool,
+    instances: HashMap<String, Instance>,
+    touched: Vec<String>,
+    sheets: HashMap<u64, Vec<Entry>>,
+    /// The sheet being filled, and how many entries it still lacks.
+    filling: Option<(u64, u64)>,
+    faults: String,
+}
+
+impl Host {
+    /// Takes one line; a batch's last one gives back the reply.
+    pub fn line(&mut self, number: u64, text: &str) -> Result<Option<String>, Complaint> {
+        let mut fields = Fields::new(number, text);
+        let message = fields.message();
+        if let Some((sheet, missing)) = self.filling {
+            if message != "ENTRY" {
+                let expected = format!("{missing} more ENTRY lines for sheet {sheet}");
+                return Err(fields.complain("members-list", &expected, message));
+            }
+        }
+        match (message, self.in_batch) {
+            ("MARK", false) => {
+                self.now = seconds(fields.whole("now")?);
+                self.batch = fields.whole("batch number")?;
+                self.in_batch = true;
+                return Ok(None);
+            }
+            ("", false) => return Ok(None),
+            (_, false) => return Err(fields.complain("message", "MARK", message)),
+            ("MARK", true) => return Err(fields.complain("message", "an event or EOB", message)),
+            ("EOB", true) => return Ok(Some(self.answer())),
+            ("SHEET", true) => {
+                let (sheet, entries) = (fields.whole("ref")?, fields.whole("members-list")?);
+                self.sheets.insert(sheet, Vec::new());
+                self.filling = (entries > 0).then_some((sheet, entries));
+                return Ok(None);
+            }
+            ("ENTRY", true) => {
+                let Some((sheet, missing)) = self.filling else {
+                    return Err(fields.complain("message", "a SHEET before its entries", message));
+                };
+                let entry = read_entry(&mut fields)?;
+                self.sheets.entry(sheet).or_default().push(entry);
+                self.filling = (missing > 1).then_some((sheet, missing - 1));
+                return Ok(None);
+            }
+            _ => {}
+        }
+        let known = [
+            "BEGIN",
+            "KILLED",
+            "BACKENDS_CHANGED",
+            "CALL",
+            "HEALTH",
+            "DEADLINE_HIT",
+            "PEER",
+            "NOTICE",
+            "WITHDRAWN",
+            "OPENED",
+            "OUTCOME",
+        ];
+        if !known.contains(&message) {
+            return Err(fields.complain("message", "an event of the wire page", message));
+        }
+        let name = fields.need("i", "an instance")?;
+        match message {
+            "BEGIN" => {
+                let seed = fields.whole("entropy")?;
+                let (deployment, names) = start::read(fields.remainder())?;
+                let gateway = Gateway::new(deployment, seed, self.now);
+                let instance = Instance { gateway, names, ids: Ids::default() };
+                self.instances.insert(name.to_string(), instance);
+            }
+            "KILLED" => {
+                self.instances.remove(name);
+                self.touched.retain(|touched| touched != name);
+                return Ok(None);
+            }
+            _ => {
+                let Some(instance) = self.instances.get_mut(name) else {
+                    return Err(fields.complain("i", "an instance that has begun", name));
+                };
+                let (now, sheets) = (self.now, &self.sheets);
+                let told = catch_unwind(AssertUnwindSafe(|| instance.event(now, sheets, &mut fields)));
+                match told {
+                    Ok(read) => read?,
+                    Err(panic) => return Ok(self.fault(name, &*panic)),
+                }
+            }
+        }
+        if !self.touched.iter().any(|touched| touched == name) {
+            self.touched.push(name.to_string());
+        }
+        Ok(None)
+    }
+
+    pub fn in_batch(&self) -> bool {
+        self.in_batch
+    }
+
+    fn fault(&mut self, name: &str, panic: &(dyn std::any::Any + Send)) -> Option<String> {
+        let words = panic.downcast_ref::<String>().map(String::as_str);
+        let words = words.or_else(|| panic.downcast_ref::<&str>().copied()).unwrap_or("panic");
+        self.faults += &format!("FAULT {name} {}\n", words.replace('\n', " "));
+        self.instances.remove(name);
+        self.touched.retain(|touched| touched != name);
+        None
+    }
+
+    fn answer(&mut self) -> String {
+        let mut reply = String::new();
+        for name in std::mem::take(&mut self.touched) {
+            let Some(instance) = self.instances.get_mut(&name) else { continue };
+            let (gateway, ids) = (&mut instance.gateway, &mut instance.ids);
+            let mut pen = Pen { instance: &name, ids, reply: &mut reply };
+            let now = self.now;
+            if let Err(panic) = catch_unwind(AssertUnwindSafe(|| gateway.round(now, &mut pen))) {
+                self.fault(&name, &*panic);
+            }
+        }
+        reply += &std::mem::take(&mut self.faults);
+        self.in_batch = false;
+        write_line(&mut reply, format_args!("ACK {}", self.batch));
+        reply
+    }
+}
+
+fn read_entry(fields: &mut Fields) -> Result<Entry, Complaint> {
+    let since = fields.maybe::<u64>("since-us", "a time")?.filter(|&us| us > 0).map(seconds);
+    let kind = fields.text().unwrap_or("").to_string();
+    let zone = fields.text().unwrap_or("").to_string();
+    let address = fields.need("engine", "an address")?.to_string();
+    let stage = match fields.need("stage-state", "Ready, Terminating or Gone")? {
+        "Ready" => Stage::Ready,
+        "Terminating" => Stage::Draining,
+        "Gone" => Stage::Gone,
+        other => return Err(fields.complain("stage-state", "Ready, Terminating or Gone", other)),
+    };
+    let cell = fields.maybe::<u64>("group", "a whole number")?.unwrap_or(0);
+    fields.number("heft")?;
+    Ok(Entry { address, zone, kind, stage, cell, since })
+}
+
+fn read_load(columns: &[String], row: Option<&str>, fields: &Fields) -> Result<Load, Complaint> {
+    let mut load = Load::default();
+    let Some(row) = row else { return Ok(load) };
+    for (column, text) in columns.iter().zip(row.split(',')) {
+        let value = match text {
+            "-" | "" => None,
+            _ => Some(text.parse().map_err(|_| fields.complain("telemetry", "numbers", row))?),
+        };
+        match column.as_str() {
+            "outstanding" => load.jobs = value,
+            "backlog" => load.memory_waits = value,
+            "x0" => load.memory_granted = value,
+            _ => {}
+        }
+    }
+    Ok(load)
+}
+
+fn read_ending(fields: &mut Fields) -> Result<Ending, Complaint> {
+    Ok(match fields.need("state-code", "an outcome")? {
+        "done" => Ending::Delivered,
+        "err" => Ending::Erred,
+        "busy" => Ending::Full,
+        "etimedout" => Ending::TimedOut,
+        "econnrefused" => Ending::Unreached,
+        "econnreset" => Ending::Broken,
+        "ecanceled" => Ending::CalledOff,
+        "skipped" => Ending::NeverSent,
+        other => return Err(fields.complain("state-code", "an outcome", other)),
+    })
+}
+
+/// The same at every gateway and in every build: FNV-1a.
+fn name_hash(text: &str) -> u64 {
+    text.bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
+impl Instance {
+    fn event(
+        &mut self,
+        now: f64,
+        sheets: &HashMap<u64, Vec<Entry>>,
+        fields: &mut Fields,
+    ) -> Result<(), Complaint> {
+        match fields.message() {
+            "BACKENDS_CHANGED" => self.listed(now, sheets, fields),
+            "CALL" => self.call(now, fields),
+            "OUTCOME" => self.outcome(now, fields),
+            "WITHDRAWN" => {
+                if let Some(&job) = self.ids.job_of.get(&fields.whole("req")?) {
+                    self.gateway.job_withdrawn(now, job);
+                    self.ids.over(job);
+                }
+                Ok(())
+            }
+            "NOTICE" => {
+                let request = fields.whole("req")?;
+                fields.whole("hop")?;
+                fields.need("engine", "an address")?;
+                let kind = fields.whole("kind")?;
+                let value = fields.number("x")?.unwrap_or(0.0);
+                let note = match kind {
+                    1 => Note::Progress(value),
+                    2 => Note::Spills,
+                    3 if value == 2.0 => Note::WaitsForLoad,
+                    3 => Note::WaitsForMemory,
+                    _ => return Ok(()),
+                };
+                if let Some(&job) = self.ids.job_of.get(&request) {
+                    self.gateway.push_noted(now, job, note);
+                }
+                Ok(())
+            }
+            "HEALTH" => {
+                let engine = self.ids.engine(fields.need("engine", "an address")?);
+                let ending = read_ending(fields)?;
+                fields.whole("spent-us")?;
+                let row = fields.text();
+                let load = read_load(&self.names.columns, row, fields)?;
+                self.gateway.probe_over(now, engine, ending, load);
+                Ok(())
+            }
+            "PEER" => {
+                // Checked, and put to no use yet: the decisions rely on their own traffic alone.
+                fields.whole("author")?;
+                let content = fields.text().unwrap_or("");
+                let decoded = STANDARD.decode(content);
+                decoded.map(drop).map_err(|_| fields.complain("content", "base64", content))
+            }
+            "OPENED" => {
+                fields.whole("req")?;
+                fields.need("engine", "an address")?;
+                fields.whole("spent-us")?;
+                fields.whole("hop").map(drop)
+            }
+            _ => fields.need("tag", "a token").map(drop),
+        }
+    }
+
+    fn listed(
+        &mut self,
+        now: f64,
+        sheets: &HashMap<u64, Vec<Entry>>,
+        fields: &mut Fields,
+    ) -> Result<(), Complaint> {
+        let sheet = fields.maybe::<u64>("ref", "a sheet's number")?;
+        let how = fields.need("how", "diff, snapshot, disk or error")?;
+        fields.maybe::<u64>("revision", "a whole number")?;
+        let whole = match how {
+            "diff" => false,
+            "snapshot" | "disk" => true,
+            "error" => {
+                self.gateway.list_failed(now);
+                return Ok(());
+            }
+            other => return Err(fields.complain("how", "diff, snapshot, disk or error", other)),
+        };
+        let Some(entries) = sheet.and_then(|sheet| sheets.get(&sheet)) else {
+            let got = sheet.map_or("nothing".to_string(), |sheet| sheet.to_string());
+            return Err(fields.complain("ref", "a sheet that was sent", &got));
+        };
+        let listings: Vec<Listing> = entries
+            .iter()
+            .map(|entry| Listing {
+                engine: self.ids.engine(&entry.address),
+                name_hash: name_hash(&entry.address),
+                zone: start::index_of(&mut self.names.zones, &entry.zone),
+                kind: start::index_of(&mut self.names.kinds, &entry.kind),
+                cell: entry.cell,
+                since: entry.since,
+                stage: entry.stage,
+            })
+            .collect();
+        self.gateway.engines_listed(now, &listings, whole);
+        Ok(())
+    }
+
+    fn call(&mut self, now: f64, fields: &mut Fields) -> Result<(), Complaint> {
+        let request = fields.whole("req")?;
+        let cost = fields.maybe::<u64>("plan-cost-us", "a whole number")?;
+        let tenant = fields.text();
+        let key = fields.text();
+        let key = match key {
+            None => None,
+            Some(text) => Some(
+                u64::from_str_radix(text, 16)
+                    .map_err(|_| fields.complain("object", "16 hex digits", text))?,
+            ),
+        };
+        let category = fields.need("tier-class", "a class")?;
+        let memory = fields.number("mem-mb")?;
+        let table_group = fields.number("schema-no")?.unwrap_or(0.0);
+        let bits = fields.maybe::<u64>("state-bits", "a whole number")?.unwrap_or(0);
+        let cut_off = seconds(fields.whole("valid-until-us")?);
+        let Some(category) = self.names.categories.iter().position(|name| name == category) else {
+            return Err(fields.complain("tier-class", "a class named at the start", category));
+        };
+        let job = self.ids.next_job;
+        self.ids.next_job += 1;
+        self.ids.jobs.insert(job, JobName { id: request, out: 0, over: false });
+        self.ids.job_of.insert(request, job);
+        let taken = Taken {
+            category,
+            tenant: tenant.and_then(|name| self.names.tenants.iter().position(|known| known == name)),
+            key,
+            table_group: table_group.to_bits(),
+            cost: cost.filter(|&cost| bits & 1 == 1 && cost > 0).map(seconds),
+            memory_mb: memory.filter(|&memory| memory > 0.0),
+            cut_off,
+        };
+        self.gateway.job_taken(now, job, taken);
+        Ok(())
+    }
+
+    fn outcome(&mut self, now: f64, fields: &mut Fields) -> Result<(), Complaint> {
+        let request = fields.whole("req")?;
+        let told = fields.maybe::<u64>("true-cost", "a whole number")?.filter(|&told| told > 0);
+        fields.whole("hop")?;
+        let engine = self.ids.engine(fields.need("engine", "an address")?);
+        let ending = read_ending(fields)?;
+        let job_over = fields.flag("no-more")?;
+        let spent = seconds(fields.whole("spent-us")?);
+        let row = fields.text();
+        let load = read_load(&self.names.columns, row, fields)?;
+        let Some(&job) = self.ids.job_of.get(&request) else { return Ok(()) };
+        if let Some(name) = self.ids.jobs.get_mut(&job) {
+            name.out = name.out.saturating_sub(1);
+            name.over |= job_over;
+        }
+        let told = told.map(|told| ((told / 4096) as f64 / 1e3, (told % 4096) as f64 * 4.0));
+        self.gateway.push_over(now, &PushEnd { job, engine, ending, job_over, spent, told, load });
+        self.ids.drop_if_done(job);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,199 @@
+//! cleatgw: a query gateway that decides what runs, where, and with how much memory.
+//!
+//! This file holds what passes between the decisions ([`logic`]) and whatever carries them: facts that
+//! a host hands in, and the [`Writer`] that it lends for the answers. Nothing here decides. Times are
+//! seconds with fractions on the host's clock; jobs, engines, categories, tenants, zones and kinds are
+//! small indices that the host gives out and keeps.
+
+pub mod logic;
+
+/// How far a repeat of a receipted job is dropped as such.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Reach {
+    All,
+    Zone,
+    Cell,
+}
+
+/// What running a job twice would do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Effect {
+    Pure,
+    Receipted { reach: Reach, window: f64 },
+    Effectful,
+}
+
+/// One kind of job.
+#[derive(Clone, Debug)]
+pub struct Category {
+    pub credit: f64,
+    /// The share of the credit still earned after the expected time.
+    pub late_share: f64,
+    pub expected_time: f64,
+    /// How much longer it is expected to take for each second of its work on each thread.
+    pub stretch: f64,
+    pub threads: f64,
+    pub effect: Effect,
+    pub in_key_order: bool,
+    pub only_zones: Option<Vec<usize>>,
+    pub only_kinds: Option<Vec<usize>>,
+}
+
+/// One kind of machine.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    pub cores: f64,
+    pub memory_mb: f64,
+}
+
+/// What a cold engine stands.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdStart {
+    pub from: f64,
+    pub warm_after: f64,
+    pub multiple: f64,
+    pub window: f64,
+}
+
+/// How many pushes beyond each job's first one gateway may make in a window.
+#[derive(Clone, Copy, Debug)]
+pub struct PushBudget {
+    pub spare: f64,
+    pub share: f64,
+    pub window: f64,
+}
+
+/// What a deployment is made of and what it allows, as told at the start.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub gateways: f64,
+    pub categories: Vec<Category>,
+    /// Each tenant's portion of the service.
+    pub tenants: Vec<f64>,
+    /// What a job past its tenant's portion earns of its credit.
+    pub over_portion: f64,
+    pub kinds: Vec<Kind>,
+    /// The most of an engine's memory that one job gets.
+    pub largest_share: f64,
+    pub grants: bool,
+    pub lanes: bool,
+    pub call_off: bool,
+    pub copies: bool,
+    pub most_pushes: u32,
+    /// The longest wait that clients follow, where they are told one.
+    pub advice: Option<f64>,
+    /// Where the list must be asked for: how long an old one counts as told.
+    pub ask_within: Option<f64>,
+    pub cold: ColdStart,
+    pub budget: Option<PushBudget>,
+    /// How long a key rests after a push that may still run.
+    pub key_rest: f64,
+}
+
+/// What the list says of an engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Stage {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One engine on the list.
+#[derive(Clone, Copy, Debug)]
+pub struct Listing {
+    pub engine: usize,
+    /// Steady across gateways: the same engine hashes alike everywhere.
+    pub name_hash: u64,
+    pub zone: usize,
+    pub kind: usize,
+    pub cell: u64,
+    pub since: Option<f64>,
+    pub stage: Stage,
+}
+
+/// A job as it was taken.
+#[derive(Clone, Copy, Debug)]
+pub struct Taken {
+    pub category: usize,
+    pub tenant: Option<usize>,
+    pub key: Option<u64>,
+    pub table_group: u64,
+    pub cost: Option<f64>,
+    pub memory_mb: Option<f64>,
+    pub cut_off: f64,
+}
+
+/// How a push ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ending {
+    Delivered,
+    Erred,
+    /// Turned away unseen.
+    Full,
+    TimedOut,
+    /// No connection came about.
+    Unreached,
+    Broken,
+    CalledOff,
+    NeverSent,
+}
+
+impl Ending {
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::Full | Ending::Unreached | Ending::NeverSent)
+    }
+}
+
+/// What an engine says of its load; what it leaves out is absent.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Load {
+    pub jobs: Option<f64>,
+    pub memory_waits: Option<f64>,
+    pub memory_granted: Option<f64>,
+}
+
+/// The end of one push.
+#[derive(Clone, Copy, Debug)]
+pub struct PushEnd {
+    pub job: usize,
+    pub engine: usize,
+    pub ending: Ending,
+    /// The job is over: its client has an answer, or wants none.
+    pub job_over: bool,
+    pub spent: f64,
+    /// The work, in seconds, and the memory, in MB, that it turned out to need.
+    pub told: Option<(f64, f64)>,
+    pub load: Load,
+}
+
+/// News of a push that is out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Note {
+    Progress(f64),
+    Spills,
+    WaitsForMemory,
+    WaitsForLoad,
+}
+
+/// Where decisions are written, as they are made.
+pub trait Writer {
+    /// Names the lane (0 to 3) and the memory for the job's pushes; zero MB leaves it to the engine.
+    fn terms(&mut self, job: usize, lane: u8, memory_mb: f64);
+    /// Pushes a job; without a time-out it runs until the cut-off.
+    fn push(&mut self, job: usize, engine: usize, time_out: Option<f64>);
+    fn call_off(&mut self, job: usize, push: u32);
+    fn turn_back(&mut self, job: usize, come_back_in: Option<f64>);
+    fn terminate(&mut self, job: usize);
+    /// Asks for the list's changes from now on.
+    fn watch(&mut self, on: bool);
+    /// Asks for the whole list once.
+    fn fetch(&mut self);
+    fn probe(&mut self, engine: usize);
+    /// Closes idle connections to an engine.
+    fn close(&mut self, engine: usize);
+    /// Tells one peer, or all.
+    fn tell(&mut self, peer: Option<usize>, content: &[u8]);
+    /// Asks for a round at or after this time.
+    fn wake(&mut self, at: f64);
+    fn log(&mut self, line: &str);
+}
--- /dev/null
+++ b/src/logic.rs
@@ -0,0 +1,1035 @@
+//! Every decision of the gateway. The interface (facts in, `Writer` out) is in `lib.rs`.
+//!
+//! A host makes a [`Gateway`], hands it each round's news through `engines_listed`, `job_taken`, `push_over`
+//! and their like, and then calls `round` once, which writes the decisions into the writer.
+//!
+//! The ordinary path is the design's: a job is granted memory by ROC against θ ([`Threshold`], [`Learned`]),
+//! goes to the one of the first fitting engines ([`Ledger`]) in its table group's hash order with the fewest
+//! of our threads per core, or is held. `may_push` alone keeps rules 2 to 7, `end` alone keeps rule 1.
+//!
+//! Mechanisms beside the design, six at most:
+//! 1. cold ramp: work sent to a cold engine stays within our share of what it stands (`cold_room`);
+//! 2. engine doubt: a draw from the posterior of an engine's success ([`Doubt`]);
+//! 3. time-outs and further pushes: `time_out`, `overdue`, and a budget of repeats (`Repeats`);
+//! 4. holding and turning back: threads per core are limited ([`Room`]), the best credit for work goes first;
+//! 5. priority lanes by credit for work (`lane`);
+//! 6. tenant fair share: credit beyond a tenant's portion counts for less (`fair_credit`).
+
+use crate::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// How many of the first fitting engines in hash order are weighed against each other.
+const FIRST_FITTING: usize = 2;
+/// Seconds between periodic work.
+const TICK: f64 = 0.25;
+/// The part of the peak rate that counts as an engine's capacity.
+const CAPACITY_SHARE: f64 = 0.85;
+/// How much of our share of a cold engine's budget we use.
+const COLD_CAUTION: f64 = 0.8;
+
+/// A decaying mean.
+#[derive(Clone, Copy, Default)]
+struct Mean {
+    sum: f64,
+    weight: f64,
+}
+
+impl Mean {
+    fn add(&mut self, value: f64, weight: f64, keep: f64) {
+        self.sum = self.sum * keep + value * weight;
+        self.weight = self.weight * keep + weight;
+    }
+
+    fn or(&self, absent: f64) -> f64 {
+        if self.weight > 0.0 {
+            self.sum / self.weight
+        } else {
+            absent
+        }
+    }
+}
+
+/// θ and its climb.
+struct Threshold {
+    theta: f64,
+    step: f64,
+    up: bool,
+    climbing: bool,
+    reversals: u32,
+    last_wait: f64,
+    last_total: f64,
+    waits: Mean,
+    runs: Mean,
+    recent: VecDeque<f64>,
+    review_at: f64,
+}
+
+impl Threshold {
+    const STEP: f64 = 0.25;
+    const PERIOD: f64 = 2.0;
+
+    fn new(now: f64) -> Self {
+        Threshold {
+            theta: 0.0,
+            step: Self::STEP,
+            up: true,
+            climbing: false,
+            reversals: 0,
+            last_wait: 0.0,
+            last_total: f64::INFINITY,
+            waits: Mean::default(),
+            runs: Mean::default(),
+            recent: VecDeque::new(),
+            review_at: now + Self::PERIOD,
+        }
+    }
+
+    fn saw(&mut self, roc: f64) {
+        if roc.is_finite() && roc > 0.0 {
+            self.recent.push_back(roc);
+            if self.recent.len() > 101 {
+                self.recent.pop_front();
+            }
+        }
+    }
+
+    fn median(&self) -> f64 {
+        let mut sorted: Vec<f64> = self.recent.iter().copied().collect();
+        sorted.sort_by(f64::total_cmp);
+        sorted.get(sorted.len() / 2).copied().unwrap_or(0.0)
+    }
+
+    /// Moves θ once a period; tells whether it moved.
+    fn review(&mut self, now: f64) -> bool {
+        if now < self.review_at || self.runs.weight < 10.0 {
+            return false;
+        }
+        self.review_at = now + Self::PERIOD;
+        let (wait, run) = (self.waits.sum / self.runs.weight, self.runs.or(0.0));
+        let (before, total) = (self.theta, wait + run);
+        if !self.climbing {
+            if wait > self.last_wait * 1.1 + 0.001 {
+                if before == 0.0 {
+                    self.theta = self.median();
+                } else {
+                    self.theta *= 1.0 + Self::STEP;
+                }
+                (self.climbing, self.up, self.step, self.reversals) = (true, true, Self::STEP, 0);
+            }
+        } else {
+            if total > self.last_total * 1.02 {
+                self.up = !self.up;
+                self.step /= 2.0;
+                self.reversals += 1;
+            } else if total < self.last_total * 0.98 {
+                self.reversals = 0;
+            }
+            if self.reversals >= 2 {
+                self.climbing = false;
+            } else {
+                self.theta *= if self.up { 1.0 + self.step } else { 1.0 - self.step };
+            }
+        }
+        (self.last_wait, self.last_total) = (wait, total);
+        (self.waits, self.runs) = (Mean::default(), Mean::default());
+        self.theta != before
+    }
+}
+
+/// Our open grants on one engine.
+struct Ledger {
+    granted: f64,
+    open: u32,
+    limit: f64,
+    start: f64,
+    whole: f64,
+    pressed_until: f64,
+    shrunk_at: f64,
+}
+
+impl Ledger {
+    const PRESSURE_LASTS: f64 = 2.0;
+
+    fn new(memory_mb: f64, gateways: f64) -> Self {
+        let start = memory_mb / gateways;
+        let (granted, open, pressed_until, shrunk_at) = (0.0, 0, -1.0, 0.0);
+        Ledger { granted, open, limit: start, start, whole: memory_mb, pressed_until, shrunk_at }
+    }
+
+    fn binds(&self, now: f64) -> bool {
+        now < self.pressed_until
+    }
+
+    fn fits(&self, grant: f64, now: f64) -> bool {
+        !self.binds(now) || self.open == 0 || self.granted + grant <= self.limit
+    }
+
+    fn room(&self) -> f64 {
+        self.limit - self.granted
+    }
+
+    fn press(&mut self, now: f64) {
+        self.pressed_until = now + Self::PRESSURE_LASTS;
+    }
+
+    /// A wait for memory or a spill that no grant of ours meant.
+    fn shrink(&mut self, now: f64) {
+        self.press(now);
+        if now >= self.shrunk_at + 1.0 {
+            self.shrunk_at = now;
+            self.limit = (self.limit * 0.8).max(self.start / 4.0);
+        }
+    }
+
+    fn tick(&mut self, now: f64) {
+        if !self.binds(now) {
+            self.limit = (self.limit * (1.0 + 0.1 * TICK)).min(self.whole.max(self.start));
+        }
+    }
+}
+
+/// What a category turned out to need against what was estimated, and how long it takes.
+#[derive(Clone, Default)]
+struct Learned {
+    work: Mean,
+    memory: Mean,
+    work_ratio: Mean,
+    memory_ratio: Mean,
+    /// Time for each second of work a thread, with the best grant and at the quarter.
+    pace: Mean,
+    quarter_pace: Mean,
+}
+
+impl Learned {
+    /// How much longer a job takes with a quarter of its memory.
+    fn spill_factor(&self) -> f64 {
+        if self.quarter_pace.weight < 3.0 || self.pace.weight < 3.0 {
+            return 2.0;
+        }
+        (self.quarter_pace.or(2.0) / self.pace.or(1.0)).clamp(1.0, 8.0)
+    }
+
+    fn pace(&self) -> f64 {
+        self.pace.or(1.5).clamp(0.5, 8.0)
+    }
+}
+
+/// Evidence on whether an engine answers well; old evidence fades.
+struct Doubt {
+    good: f64,
+    bad: f64,
+    at: f64,
+    doubted: bool,
+}
+
+impl Doubt {
+    const HALF_LIFE: f64 = 4.0;
+    const TRUST: f64 = 0.75;
+
+    fn new(now: f64) -> Self {
+        Doubt { good: 0.0, bad: 0.0, at: now, doubted: false }
+    }
+
+    fn fade(&mut self, now: f64) {
+        let keep = 0.5_f64.powf((now - self.at) / Self::HALF_LIFE);
+        (self.good, self.bad, self.at) = (self.good * keep, self.bad * keep, now);
+    }
+
+    fn add(&mut self, good: f64, bad: f64, now: f64) {
+        self.fade(now);
+        self.good += good;
+        self.bad += bad;
+    }
+
+    fn mean(&self) -> f64 {
+        (2.0 + self.good) / (2.1 + self.good + self.bad)
+    }
+
+    /// A draw from the posterior, by its mean and spread.
+    fn draw(&self, chance: f64) -> f64 {
+        let (mean, count) = (self.mean(), 2.1 + self.good + self.bad);
+        let spread = (mean * (1.0 - mean) / (count + 1.0)).sqrt();
+        (mean + (chance - 0.5) * 3.46 * spread).clamp(0.0, 1.0)
+    }
+}
+
+/// How many of our threads per core an engine may hold.
+struct Room {
+    limit: f64,
+    start: f64,
+}
+
+impl Room {
+    /// Threads per core, all gateways together, to begin with.
+    const START: f64 = 2.0;
+
+    fn new(gateways: f64) -> Self {
+        let start = Self::START / gateways;
+        Room { limit: start, start }
+    }
+
+    fn tick(&mut self, pace: f64, used: f64) {
+        if pace > 3.0 {
+            self.limit = (self.limit * 0.95).max(self.start * 0.5);
+        } else if pace < 2.0 && used > self.limit * 0.7 {
+            self.limit = (self.limit * 1.05).min(3.0);
+        }
+    }
+}
+
+struct EngineState {
+    at: Listing,
+    ledger: Ledger,
+    doubt: Doubt,
+    room: Room,
+    threads: f64,
+    pushes: u32,
+    pace: Mean,
+    best_pace: f64,
+    last_answer: f64,
+    /// Work pushed of late, by usual weight, for the cold ramp.
+    sent: VecDeque<(f64, f64)>,
+    cold: bool,
+}
+
+struct Push {
+    engine: usize,
+    sent: f64,
+    grant: f64,
+    quarter: bool,
+    out: bool,
+    may_have_run: bool,
+    called_off: bool,
+}
+
+struct Job {
+    taken: Taken,
+    at: f64,
+    work: f64,
+    memory: f64,
+    density: f64,
+    expected_at: f64,
+    ledger_held_at: Option<f64>,
+    ledger_wait: f64,
+    pushes: Vec<Push>,
+    over: bool,
+}
+
+impl Job {
+    fn out(&self) -> bool {
+        self.pushes.iter().any(|push| push.out)
+    }
+}
+
+#[derive(Default)]
+struct KeyLine {
+    jobs: VecDeque<usize>,
+    rests_until: f64,
+}
+
+/// What falls due: a job's cut-off or last sensible start, or a push that has been silent for too long.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    CutOff(usize),
+    TooLate(usize),
+    Overdue(usize, usize),
+}
+
+pub struct Gateway {
+    given: Deployment,
+    seed: u64,
+    draws: u64,
+    theta: Threshold,
+    learned: Vec<Learned>,
+    engines: BTreeMap<usize, EngineState>,
+    jobs: BTreeMap<usize, Job>,
+    held: BTreeSet<(u64, usize)>,
+    keys: BTreeMap<u64, KeyLine>,
+    due: BTreeSet<(u64, Due)>,
+    taken_at: VecDeque<f64>,
+    repeats: VecDeque<f64>,
+    density: Mean,
+    tenants: Vec<Mean>,
+    next_tick: f64,
+    armed: f64,
+    watch_at: f64,
+    turned_back_at: f64,
+    turning_back: bool,
+    log: Vec<String>,
+}
+
+/// Positive times and amounts keep their order as bits.
+fn rank(value: f64) -> u64 {
+    value.max(0.0).to_bits()
+}
+
+fn mix(parts: impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    parts.hash(&mut hasher);
+    hasher.finish()
+}
+
+impl Gateway {
+    pub fn new(given: Deployment, seed: u64, now: f64) -> Self {
+        Gateway {
+            seed,
+            draws: 0,
+            theta: Threshold::new(now),
+            learned: vec![Learned::default(); given.categories.len()],
+            engines: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            held: BTreeSet::new(),
+            keys: BTreeMap::new(),
+            due: BTreeSet::new(),
+            taken_at: VecDeque::new(),
+            repeats: VecDeque::new(),
+            density: Mean::default(),
+            tenants: vec![Mean::default(); given.tenants.len()],
+            next_tick: now + TICK,
+            armed: f64::NEG_INFINITY,
+            watch_at: if given.ask_within.is_some() { now } else { f64::INFINITY },
+            turned_back_at: f64::NEG_INFINITY,
+            turning_back: false,
+            log: Vec::new(),
+            given,
+        }
+    }
+
+    // ---- what comes in ----
+
+    pub fn engines_listed(&mut self, now: f64, listings: &[Listing], whole: bool) {
+        if whole {
+            for engine in self.engines.values_mut() {
+                engine.at.stage = Stage::Gone;
+            }
+        }
+        for &listing in listings {
+            let fresh = match self.engines.get_mut(&listing.engine) {
+                Some(engine) if engine.at.since == listing.since => {
+                    engine.at = listing;
+                    false
+                }
+                _ => true,
+            };
+            if fresh {
+                let (ours, was) = match self.engines.remove(&listing.engine) {
+                    Some(old) => ((old.threads, old.pushes, old.sent), Some(old.ledger)),
+                    None => ((0.0, 0, VecDeque::new()), None),
+                };
+                let memory = self.given.kinds.get(listing.kind).map_or(0.0, |kind| kind.memory_mb);
+                let mut ledger = Ledger::new(memory, self.given.gateways);
+                if let Some(was) = was {
+                    (ledger.granted, ledger.open) = (was.granted, was.open);
+                }
+                let state = EngineState {
+                    at: listing,
+                    ledger,
+                    doubt: Doubt::new(now),
+                    room: Room::new(self.given.gateways),
+                    threads: ours.0,
+                    pushes: ours.1,
+                    pace: Mean::default(),
+                    best_pace: f64::INFINITY,
+                    last_answer: now,
+                    sent: ours.2,
+                    cold: false,
+                };
+                self.engines.insert(listing.engine, state);
+            }
+        }
+    }
+
+    /// The list could not be had; the old one stands, and a new subscription is asked for in a while.
+    pub fn list_failed(&mut self, now: f64) {
+        if self.given.ask_within.is_some() {
+            self.watch_at = now + 1.0;
+        }
+        self.log.push(format!("list out of reach, {} engines known", self.engines.len()));
+    }
+
+    pub fn job_taken(&mut self, now: f64, id: usize, taken: Taken) {
+        self.taken_at.push_back(now);
+        let category = &self.given.categories[taken.category];
+        let learned = &mut self.learned[taken.category];
+        let keep = 0.995;
+        let work = match taken.cost {
+            Some(cost) => cost * learned.work_ratio.or(1.0),
+            None => learned.work.or(1.0),
+        };
+        let memory = match taken.memory_mb {
+            Some(memory) => memory * learned.memory_ratio.or(1.0),
+            None => learned.memory.or(0.0),
+        };
+        if learned.work.weight == 0.0 {
+            learned.work.add(work, 0.01, 1.0);
+        }
+        for (at, tenant) in self.tenants.iter_mut().enumerate() {
+            tenant.add(f64::from(u8::from(taken.tenant == Some(at))), 1.0, keep);
+        }
+        let expected_at = now + category.expected_time + category.stretch * work / category.threads;
+        let credit = self.fair_credit(&taken);
+        let density = credit / work.max(1e-3);
+        self.density.add(density, work, keep);
+        let job = Job {
+            taken,
+            at: now,
+            work,
+            memory,
+            density,
+            expected_at,
+            ledger_held_at: None,
+            ledger_wait: 0.0,
+            pushes: Vec::new(),
+            over: false,
+        };
+        if let (true, Some(key)) = (self.given.categories[taken.category].in_key_order, taken.key) {
+            self.keys.entry(key).or_default().jobs.push_back(id);
+        }
+        self.due.insert((rank(taken.cut_off), Due::CutOff(id)));
+        self.due.insert((rank(self.last_start(&job)), Due::TooLate(id)));
+        self.held.insert((u64::MAX - rank(density), id));
+        self.jobs.insert(id, job);
+    }
+
+    pub fn job_withdrawn(&mut self, now: f64, id: usize) {
+        self.close_job(now, id);
+    }
+
+    pub fn push_noted(&mut self, now: f64, id: usize, note: Note) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(push) = job.pushes.iter().rfind(|push| push.out) else { return };
+        let Some(engine) = self.engines.get_mut(&push.engine) else { return };
+        engine.last_answer = now;
+        match note {
+            Note::WaitsForMemory => {
+                engine.ledger.shrink(now);
+                self.theta.waits.add(1.0, 1.0, 1.0);
+            }
+            Note::Spills if !push.quarter => engine.ledger.shrink(now),
+            _ => {}
+        }
+    }
+
+    pub fn probe_over(&mut self, now: f64, engine: usize, ending: Ending, load: Load) {
+        let Some(state) = self.engines.get_mut(&engine) else { return };
+        match ending {
+            Ending::Delivered => Self::read_load(state, load, now),
+            _ => state.doubt.add(0.0, 1.0, now),
+        }
+    }
+
+    fn read_load(engine: &mut EngineState, load: Load, now: f64) {
+        if load.memory_granted.is_some_and(|share| share >= 0.98) {
+            engine.ledger.press(now);
+        }
+        if load.memory_waits.is_some_and(|waits| waits >= 1.0) {
+            engine.ledger.shrink(now);
+        }
+    }
+
+    pub fn push_over(&mut self, now: f64, end: &PushEnd) {
+        let Some(job) = self.jobs.get_mut(&end.job) else { return };
+        let Some(push) = job.pushes.iter_mut().find(|push| push.out && push.engine == end.engine) else {
+            return;
+        };
+        push.out = false;
+        push.may_have_run = !end.ending.never_ran();
+        let (sent, grant, quarter) = (push.sent, push.grant, push.quarter);
+        let category = &self.given.categories[job.taken.category];
+        let (threads, key) = (category.threads, job.taken.key.filter(|_| category.in_key_order));
+        let (work, memory) = end.told.unwrap_or((job.work, job.memory));
+        let learned = &mut self.learned[job.taken.category];
+        if let Some(engine) = self.engines.get_mut(&end.engine) {
+            engine.threads -= threads;
+            engine.pushes -= 1;
+            engine.ledger.granted = (engine.ledger.granted - grant).max(0.0);
+            engine.ledger.open -= 1;
+            Self::read_load(engine, end.load, now);
+            match end.ending {
+                Ending::Delivered => {
+                    let pace = end.spent * threads / work.max(1e-3);
+                    // Slow against what the category takes elsewhere: a slow machine, a pause, a crowd.
+                    let slow = pace > 3.0 * learned.pace() && end.spent > 0.3;
+                    engine.doubt.add(f64::from(u8::from(!slow)), f64::from(u8::from(slow)), now);
+                    engine.last_answer = now;
+                    engine.pace.add(pace, work, 0.9);
+                    engine.best_pace = engine.best_pace.min(engine.pace.or(pace)) * 1.001;
+                    if engine.pace.or(1.0) > 2.5 * engine.best_pace {
+                        engine.ledger.press(now);
+                    }
+                }
+                Ending::Full => {
+                    engine.ledger.press(now);
+                    engine.room.limit = (engine.room.limit * 0.9).max(engine.room.start * 0.5);
+                }
+                Ending::Unreached => engine.doubt.add(0.0, 3.0, now),
+                Ending::Erred | Ending::Broken => engine.doubt.add(0.0, 1.0, now),
+                Ending::TimedOut if engine.last_answer < sent => engine.doubt.add(0.0, 1.0, now),
+                _ => {}
+            }
+        }
+        if end.ending == Ending::Delivered {
+            let pace = if quarter { &mut learned.quarter_pace } else { &mut learned.pace };
+            pace.add(end.spent * threads / work.max(1e-3), work, 0.99);
+            self.theta.runs.add(end.spent, 1.0, 1.0);
+            self.theta.waits.add(job.ledger_wait, 1.0, 1.0);
+            if end.told.is_some() {
+                learned.work.add(work, 1.0, 0.99);
+                learned.memory.add(memory, 1.0, 0.99);
+                if let Some(cost) = job.taken.cost {
+                    learned.work_ratio.add(work / cost, cost, 0.99);
+                }
+                if let Some(estimate) = job.taken.memory_mb {
+                    learned.memory_ratio.add(memory / estimate, estimate, 0.99);
+                }
+            }
+        }
+        if matches!(end.ending, Ending::TimedOut | Ending::Broken | Ending::CalledOff) {
+            if let Some(line) = key.and_then(|key| self.keys.get_mut(&key)) {
+                line.rests_until = line.rests_until.max(now + self.given.key_rest);
+            }
+        }
+        if end.job_over {
+            self.close_job(now, end.job);
+        } else if !job.over && !job.out() {
+            self.held.insert((u64::MAX - rank(job.density), end.job));
+        }
+        self.forget_if_done(end.job);
+    }
+
+    // ---- the round ----
+
+    pub fn round(&mut self, now: f64, out: &mut dyn Writer) {
+        if now >= self.watch_at {
+            self.watch_at = f64::INFINITY;
+            out.watch(true);
+        }
+        while let Some(&(at, due)) = self.due.first() {
+            if at > rank(now) {
+                break;
+            }
+            self.due.pop_first();
+            match due {
+                Due::CutOff(id) => self.end(now, id, out),
+                Due::TooLate(id) => self.too_late(now, id, out),
+                Due::Overdue(id, push) => self.overdue(now, id, push, out),
+            }
+        }
+        if now >= self.next_tick {
+            self.next_tick = now + TICK;
+            self.tick(now);
+        }
+        self.push_held(now, out);
+        for line in self.log.drain(..) {
+            out.log(&line);
+        }
+        let next = self.due.first().map_or(f64::INFINITY, |&(at, _)| f64::from_bits(at));
+        let next = next.min(self.next_tick).min(self.watch_at);
+        if self.armed <= now || next < self.armed {
+            self.armed = next;
+            out.wake(next);
+        }
+    }
+
+    fn tick(&mut self, now: f64) {
+        if self.theta.review(now) {
+            let Threshold { theta, last_wait, last_total, .. } = self.theta;
+            self.log.push(format!("θ {theta:.6}: wait {last_wait:.3} s, wait and run {last_total:.3} s"));
+        }
+        for (id, engine) in &mut self.engines {
+            engine.ledger.tick(now);
+            engine.doubt.fade(now);
+            let cores = self.given.kinds.get(engine.at.kind).map_or(1.0, |kind| kind.cores);
+            engine.room.tick(engine.pace.or(1.0), engine.threads / cores);
+            let (mean, doubted) = (engine.doubt.mean(), engine.doubt.doubted);
+            if doubted != (mean < Doubt::TRUST) {
+                engine.doubt.doubted = !doubted;
+                let word = if doubted { "trusted" } else { "doubted" };
+                let Doubt { good, bad, .. } = engine.doubt;
+                self.log.push(format!("engine {id} {word}: {good:.1} good, {bad:.1} bad"));
+            }
+            let cold = Self::warmth(&self.given, engine, now) < 1.0;
+            if cold != engine.cold {
+                engine.cold = cold;
+                let word = if cold { "cold" } else { "warm" };
+                self.log.push(format!("engine {id} {word}: started {:.1}", engine.at.since.unwrap_or(0.0)));
+            }
+        }
+        let window = self.repeat_budget().window.max(1.0);
+        while self.taken_at.front().is_some_and(|&at| at < now - window) {
+            self.taken_at.pop_front();
+        }
+        while self.repeats.front().is_some_and(|&at| at < now - window) {
+            self.repeats.pop_front();
+        }
+        if self.turning_back && now > self.turned_back_at + 5.0 {
+            self.turning_back = false;
+            self.log.push(format!("turning none back: {} held", self.held.len()));
+        }
+    }
+
+    /// Pushes what is held, the best credit for its work first.
+    fn push_held(&mut self, now: f64, out: &mut dyn Writer) {
+        let waiting: Vec<(u64, usize)> = self.held.iter().copied().collect();
+        let mut failures = 0;
+        for entry in waiting {
+            let id = entry.1;
+            if !self.jobs.contains_key(&id) {
+                self.held.remove(&entry);
+                continue;
+            }
+            if self.can_never_push(id, now) {
+                self.held.remove(&entry);
+                self.end(now, id, out);
+                continue;
+            }
+            if failures >= 12 {
+                continue;
+            }
+            if self.place(now, id, out) {
+                self.held.remove(&entry);
+            } else {
+                failures += 1;
+            }
+        }
+    }
+
+    /// Grants by ROC against θ: the grant, and whether it is the quarter.
+    fn grant(&mut self, id: usize) -> (f64, f64, bool) {
+        let job = &self.jobs[&id];
+        let most = self.given.kinds.iter().map(|kind| kind.memory_mb).fold(0.0, f64::max);
+        let cap = most * self.given.largest_share.min(0.5);
+        let spill = self.learned[job.taken.category].spill_factor();
+        let full = if cap > 0.0 { job.memory.min(cap) } else { job.memory };
+        let quarter = job.memory / 4.0;
+        let time = |grant: f64| {
+            let missing = (1.0 - grant / job.memory.max(1e-9)).max(0.0) / 0.75;
+            job.work * (1.0 + (spill - 1.0) * missing)
+        };
+        let (fast, slow) = (time(full), time(quarter));
+        let extra = fast * full - slow * quarter;
+        if extra <= 0.0 || full <= quarter {
+            return (full, full, false);
+        }
+        let roc = (slow - fast) / extra;
+        self.theta.saw(roc);
+        if roc > self.theta.theta {
+            (full, quarter, false)
+        } else {
+            (quarter, quarter, true)
+        }
+    }
+
+    /// Finds the job's engine and pushes it there; false: it is held.
+    fn place(&mut self, now: f64, id: usize, out: &mut dyn Writer) -> bool {
+        let (grant, least, quarter) = self.grant(id);
+        let group = self.jobs[&id].taken.table_group;
+        let mut order: Vec<(u64, usize)> =
+            self.engines.iter().map(|(&at, engine)| (mix((engine.at.name_hash, group)), at)).collect();
+        order.sort_unstable();
+        let light = self.lane(id) > 1;
+        let best = self.engines.values().filter(|e| e.at.stage == Stage::Ready);
+        let best = best.map(|engine| engine.doubt.mean()).fold(0.0, f64::max);
+        let mut open = Vec::new();
+        for (_, at) in order {
+            if !self.may_push(id, at, now) || !self.has_room(id, at, light) {
+                continue;
+            }
+            let chance = self.chance();
+            let engine = &self.engines[&at];
+            if engine.doubt.draw(chance) < Doubt::TRUST * best {
+                continue;
+            }
+            // One light job at a time tries out an engine in doubt.
+            if engine.doubt.mean() < Doubt::TRUST * best && (engine.pushes > 0 || !light) {
+                continue;
+            }
+            open.push(at);
+        }
+        let per_core = |at: &usize| {
+            let engine = &self.engines[at];
+            engine.threads / self.given.kinds.get(engine.at.kind).map_or(1.0, |kind| kind.cores)
+        };
+        let fitting = open.iter().filter(|at| self.engines[at].ledger.fits(grant, now));
+        let choice = fitting.take(FIRST_FITTING).min_by(|a, b| per_core(a).total_cmp(&per_core(b)));
+        if let Some(&at) = choice {
+            self.push(now, id, at, grant, quarter, out);
+            return true;
+        }
+        let roomiest = open.iter().filter(|at| self.engines[at].ledger.fits(least, now));
+        let room = |at: &usize| self.engines[at].ledger.room();
+        let roomiest = roomiest.max_by(|a, b| room(a).total_cmp(&room(b))).copied();
+        if let Some(at) = roomiest {
+            self.push(now, id, at, least, true, out);
+            return true;
+        }
+        if !open.is_empty() {
+            self.jobs.get_mut(&id).expect("held").ledger_held_at.get_or_insert(now);
+        }
+        false
+    }
+
+    fn has_room(&self, id: usize, at: usize, light: bool) -> bool {
+        let engine = &self.engines[&at];
+        let cores = self.given.kinds.get(engine.at.kind).map_or(1.0, |kind| kind.cores);
+        let threads = self.given.categories[self.jobs[&id].taken.category].threads;
+        // Light jobs may pass the heavy ones that fill an engine.
+        let limit = if light { engine.room.limit * 1.5 + 1.0 / cores } else { engine.room.limit };
+        engine.pushes == 0 || engine.threads + threads <= limit * cores
+    }
+
+    fn push(&mut self, now: f64, id: usize, at: usize, grant: f64, quarter: bool, out: &mut dyn Writer) {
+        let lane = self.lane(id);
+        let time_out = self.time_out(now, id);
+        let weight = self.usual_work(self.jobs[&id].taken.category);
+        let job = self.jobs.get_mut(&id).expect("a held job");
+        let category = &self.given.categories[job.taken.category];
+        if let Some(since) = job.ledger_held_at.take() {
+            job.ledger_wait += now - since;
+        }
+        let pace = self.learned[job.taken.category].pace();
+        let patience = 0.4 + 2.5 * job.work / category.threads * pace;
+        if !job.pushes.is_empty() {
+            self.repeats.push_back(now);
+        }
+        let (engine, sent, called_off) = (at, now, false);
+        job.pushes.push(Push { engine, sent, grant, quarter, out: true, may_have_run: true, called_off });
+        self.due.insert((rank(now + patience), Due::Overdue(id, job.pushes.len() - 1)));
+        let engine = self.engines.get_mut(&at).expect("a listed engine");
+        engine.threads += category.threads;
+        engine.pushes += 1;
+        engine.ledger.granted += grant;
+        engine.ledger.open += 1;
+        engine.sent.push_back((now, weight));
+        while engine.sent.front().is_some_and(|&(sent, _)| sent < now - self.given.cold.window) {
+            engine.sent.pop_front();
+        }
+        if self.given.grants || self.given.lanes {
+            out.terms(id, lane, if self.given.grants { grant } else { 0.0 });
+        }
+        out.push(id, at, time_out);
+    }
+
+    // ---- the gate, and the end of a job ----
+
+    /// Rules 2 to 7. Every push passes here.
+    fn may_push(&self, id: usize, at: usize, now: f64) -> bool {
+        let (Some(job), Some(engine)) = (self.jobs.get(&id), self.engines.get(&at)) else { return false };
+        let category = &self.given.categories[job.taken.category];
+        // Rule 3: nothing new to a draining or gone engine.
+        if job.over || engine.at.stage != Stage::Ready || now >= job.taken.cut_off {
+            return false;
+        }
+        // Rule 2: no second effect, and one push out unless copies are allowed.
+        if job.pushes.len() as u32 >= self.given.most_pushes || (job.out() && !self.given.copies) {
+            return false;
+        }
+        for push in job.pushes.iter().filter(|push| push.may_have_run) {
+            let same = |of: fn(&Listing) -> u64| {
+                self.engines.get(&push.engine).is_some_and(|first| of(&first.at) == of(&engine.at))
+            };
+            let allowed = match category.effect {
+                Effect::Pure => true,
+                Effect::Effectful => false,
+                Effect::Receipted { reach, window } => {
+                    let near = match reach {
+                        Reach::All => true,
+                        Reach::Zone => same(|at| at.zone as u64),
+                        Reach::Cell => same(|at| at.cell),
+                    };
+                    near && now < push.sent + window
+                }
+            };
+            if !allowed {
+                return false;
+            }
+        }
+        // Rule 6: placement.
+        let among = |only: &Option<Vec<usize>>, this| only.as_ref().is_none_or(|only| only.contains(&this));
+        if !among(&category.only_zones, engine.at.zone) || !among(&category.only_kinds, engine.at.kind) {
+            return false;
+        }
+        // Rule 5: key order, and the rest after a push that may still run.
+        if let (true, Some(key)) = (category.in_key_order, job.taken.key) {
+            let line = &self.keys[&key];
+            if line.jobs.front() != Some(&id) || (job.pushes.is_empty() && now < line.rests_until) {
+                return false;
+            }
+        }
+        // Rule 7: the budget of further pushes.
+        if !job.pushes.is_empty() {
+            let budget = self.repeat_budget();
+            let repeats = self.repeats.iter().filter(|&&at| at >= now - budget.window).count();
+            let taken = self.taken_at.iter().filter(|&&at| at > now - budget.window).count();
+            if repeats as f64 + 1.0 > budget.spare + budget.share * taken as f64 {
+                return false;
+            }
+        }
+        // Rule 4: a cold engine's budget.
+        self.cold_room(engine, now) >= self.usual_work(job.taken.category)
+    }
+
+    /// Where no budget is stated, we keep one, so that a bad spell does not feed on its own repeats.
+    fn repeat_budget(&self) -> PushBudget {
+        self.given.budget.unwrap_or(PushBudget { spare: 10.0, share: 0.2, window: 10.0 })
+    }
+
+    fn warmth(given: &Deployment, engine: &EngineState, now: f64) -> f64 {
+        let cold = given.cold;
+        let age = engine.at.since.map_or(f64::INFINITY, |since| now - since);
+        if age >= cold.warm_after {
+            return 1.0;
+        }
+        cold.from + (1.0 - cold.from) * (age / cold.warm_after).max(0.0)
+    }
+
+    /// The work that we may still send a cold engine now, if every peer sends its share too.
+    fn cold_room(&self, engine: &EngineState, now: f64) -> f64 {
+        let warmth = Self::warmth(&self.given, engine, now);
+        if warmth >= 1.0 {
+            return f64::INFINITY;
+        }
+        let cold = self.given.cold;
+        let cores = self.given.kinds.get(engine.at.kind).map_or(1.0, |kind| kind.cores);
+        let stands = cold.multiple * cores * CAPACITY_SHARE * warmth * cold.window * COLD_CAUTION;
+        let sent = engine.sent.iter().filter(|(at, _)| *at > now - cold.window);
+        stands / self.given.gateways - sent.map(|(_, work)| work).sum::<f64>()
+    }
+
+    fn usual_work(&self, category: usize) -> f64 {
+        self.learned[category].work.or(1.0)
+    }
+
+    /// No push can follow, whatever comes.
+    fn can_never_push(&self, id: usize, now: f64) -> bool {
+        let job = &self.jobs[&id];
+        if job.pushes.len() as u32 >= self.given.most_pushes {
+            return true;
+        }
+        job.pushes.iter().filter(|push| push.may_have_run).any(|push| {
+            match self.given.categories[job.taken.category].effect {
+                Effect::Pure => false,
+                Effect::Effectful => true,
+                Effect::Receipted { window, .. } => now >= push.sent + window,
+            }
+        })
+    }
+
+    /// Rule 1: the one place where a job gets its answer from us.
+    fn end(&mut self, now: f64, id: usize, out: &mut dyn Writer) {
+        let Some(job) = self.jobs.get(&id).filter(|job| !job.over) else { return };
+        let unseen = !job.pushes.iter().any(|push| push.may_have_run);
+        let harmless = match self.given.categories[job.taken.category].effect {
+            Effect::Pure | Effect::Receipted { reach: Reach::All, .. } => true,
+            _ => unseen,
+        };
+        if harmless {
+            out.turn_back(id, self.given.advice);
+        } else {
+            out.terminate(id);
+        }
+        self.close_job(now, id);
+    }
+
+    fn close_job(&mut self, _now: f64, id: usize) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.over = true;
+        self.held.remove(&(u64::MAX - rank(job.density), id));
+        self.due.remove(&(rank(job.taken.cut_off), Due::CutOff(id)));
+        self.forget_if_done(id);
+    }
+
+    fn forget_if_done(&mut self, id: usize) {
+        let Some(job) = self.jobs.get(&id).filter(|job| job.over && !job.out()) else { return };
+        if let (true, Some(key)) = (self.given.categories[job.taken.category].in_key_order, job.taken.key) {
+            let line = self.keys.get_mut(&key).expect("its line");
+            line.jobs.retain(|&other| other != id);
+        }
+        self.jobs.remove(&id);
+    }
+
+    // ---- the mechanisms beside the design ----
+
+    fn chance(&mut self) -> f64 {
+        self.draws += 1;
+        (mix((self.seed, self.draws)) >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// What a tenant sends beyond its portion of our traffic earns less.
+    fn fair_credit(&self, taken: &Taken) -> f64 {
+        let credit = self.given.categories[taken.category].credit;
+        let Some(tenant) = taken.tenant else { return credit };
+        let portion = self.given.tenants[tenant];
+        let sends = self.tenants[tenant].or(portion).max(1e-3);
+        let within = (portion / sends).min(1.0);
+        credit * (within + (1.0 - within) * self.given.over_portion)
+    }
+
+    fn lane(&self, id: usize) -> u8 {
+        if self.jobs[&id].density >= self.density.or(0.0) {
+            3
+        } else {
+            1
+        }
+    }
+
+    fn run_time(&self, job: &Job) -> f64 {
+        let threads = self.given.categories[job.taken.category].threads;
+        job.work / threads * self.learned[job.taken.category].pace()
+    }
+
+    fn last_start(&self, job: &Job) -> f64 {
+        (job.expected_at - self.run_time(job)).max(job.at + 0.05)
+    }
+
+    /// So long that, should it pass unanswered, a push elsewhere may still come in time.
+    fn time_out(&self, now: f64, id: usize) -> Option<f64> {
+        let job = &self.jobs[&id];
+        let run = self.run_time(job);
+        let least = 0.4 + 2.5 * run;
+        let in_time = job.expected_at - now - 1.5 * run;
+        let wait = if in_time >= least { in_time } else { 2.0 * least };
+        let left = job.taken.cut_off - now;
+        (wait + run < left && job.pushes.len() + 1 < self.given.most_pushes as usize).then_some(wait)
+    }
+
+    /// A held job whose expected time can't be met any more: turned back, unless what it would still earn
+    /// late is better than the work that waits.
+    fn too_late(&mut self, now: f64, id: usize, out: &mut dyn Writer) {
+        let Some(job) = self.jobs.get(&id).filter(|job| !job.over && !job.out()) else { return };
+        let late = job.density * self.given.categories[job.taken.category].late_share;
+        let last = job.taken.cut_off - self.run_time(job);
+        if late >= self.density.or(0.0) && now < last - 0.05 {
+            self.due.insert((rank(last), Due::TooLate(id)));
+            return;
+        }
+        self.turned_back_at = now;
+        if !self.turning_back {
+            self.turning_back = true;
+            let (held, density) = (self.held.len(), job.density);
+            self.log.push(format!("turning back: {held} held, credit for work {density:.2}"));
+        }
+        self.end(now, id, out);
+    }
+
+    /// A push is out for far longer than it should be, and its engine has answered nothing since.
+    fn overdue(&mut self, now: f64, id: usize, push: usize, out: &mut dyn Writer) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let over = job.over;
+        let push_no = push as u32;
+        let push = &mut job.pushes[push];
+        if !push.out {
+            return;
+        }
+        let Some(engine) = self.engines.get_mut(&push.engine) else { return };
+        if engine.last_answer >= push.sent {
+            return;
+        }
+        engine.doubt.add(0.0, 1.0, now);
+        if self.given.call_off && !over && !push.called_off && engine.doubt.mean() < 0.5 {
+            push.called_off = true;
+            out.call_off(id, push_no);
+        }
+    }
+}
