--- a/crates/adapter/src/start.rs
+++ b/crates/adapter/src/start.rs
@@ -87,6 +87,7 @@
         ..Names::default()
     };
     let threads = pairs.numbers("family-info.parallelism")?;
+    let holds = pairs.list("family-info.is-load");
     let mut categories = Vec::new();
     for at in 0..pairs.count("categories")? {
         let path = |key: &str| format!("categories.{at}.{key}");
@@ -116,6 +117,7 @@
             stretch: pairs.number(&path("aim-stretch"), 0.0)?,
             threads: threads.get(at).copied().unwrap_or(1.0).max(1.0),
             effect,
+            holds_tables: holds.get(at).is_some_and(|&text| text == "true"),
             in_key_order: pairs.flag(&path("serial-by-key")),
         });
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,8 @@
     pub threads: f64,
     pub effect: Effect,
     pub in_key_order: bool,
+    /// It holds its table group on its engine until it ends, and those that wait stand still there.
+    pub holds_tables: bool,
     pub only_zones: Option<Vec<usize>>,
     pub only_kinds: Option<Vec<usize>>,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -728,6 +728,11 @@
         let mut order: Vec<(u64, usize)> =
             self.engines.iter().map(|(&at, engine)| (mix((engine.at.name_hash, group)), at)).collect();
         order.sort_unstable();
+        // A job that holds its tables starts from the far end of the order, away from the group's readers.
+        // It guards against stalls behind our peers' holders as well, as the order is the same everywhere.
+        if self.given.categories[self.jobs[&id].taken.category].holds_tables {
+            order.reverse();
+        }
         let light = self.lane(id) > 1;
         let best = self.engines.values().filter(|e| e.at.stage == Stage::Ready);
         let best = best.map(|engine| engine.doubt.mean()).fold(0.0, f64::max);
