An engine in doubt gets one draw a tick and one light trial a draw

Should also catch resets, half-dead links, full engines. May hurt where one trial a draw is too slow to notice that an engine is back.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -221,6 +221,8 @@
     bad: f64,
     at: f64,
     doubted: bool,
+    /// The present draw: made anew each tick, spent by a trial.
+    drawn: f64,
 }
 
 impl Doubt {
@@ -228,7 +230,7 @@
     const TRUST: f64 = 0.75;
 
     fn new(now: f64) -> Self {
-        Doubt { good: 0.0, bad: 0.0, at: now, doubted: false }
+        Doubt { good: 0.0, bad: 0.0, at: now, doubted: false, drawn: 1.0 }
     }
 
     fn fade(&mut self, now: f64) {
@@ -247,10 +249,10 @@
     }
 
     /// A draw from the posterior, by its mean and spread.
-    fn draw(&self, chance: f64) -> f64 {
+    fn draw(&mut self, chance: f64) {
         let (mean, count) = (self.mean(), 2.1 + self.good + self.bad);
         let spread = (mean * (1.0 - mean) / (count + 1.0)).sqrt();
-        (mean + (chance - 0.5) * 3.46 * spread).clamp(0.0, 1.0)
+        self.drawn = mean + (chance - 0.5) * 3.46 * spread;
     }
 }
 
@@ -640,6 +642,8 @@
         for (id, engine) in &mut self.engines {
             engine.ledger.tick(now);
             engine.doubt.fade(now);
+            self.draws += 1;
+            engine.doubt.draw((mix((self.seed, self.draws)) >> 11) as f64 / (1u64 << 53) as f64);
             let cores = self.given.kinds.get(engine.at.kind).map_or(1.0, |kind| kind.cores);
             engine.room.tick(engine.pace.or(1.0), engine.threads / cores);
             let (mean, doubted) = (engine.doubt.mean(), engine.doubt.doubted);
@@ -741,13 +745,11 @@
             if !self.may_push(id, at, now) || !self.has_room(id, at, light) {
                 continue;
             }
-            let chance = self.chance();
+            // One light job at a time, and one a draw, tries out an engine in doubt: whatever ails it (dead,
+            // silent, failing, slow), fast failures must not draw in job after job.
             let engine = &self.engines[&at];
-            if engine.doubt.draw(chance) < Doubt::TRUST * best {
-                continue;
-            }
-            // One light job at a time tries out an engine in doubt.
-            if engine.doubt.mean() < Doubt::TRUST * best && (engine.pushes > 0 || !light) {
+            let doubted = engine.doubt.mean() < Doubt::TRUST * best;
+            if doubted && (engine.doubt.drawn < Doubt::TRUST * best || engine.pushes > 0 || !light) {
                 continue;
             }
             open.push(at);
@@ -802,6 +804,7 @@
         job.pushes.push(Push { engine, sent, grant, quarter, out: true, may_have_run: true, called_off });
         self.due.insert((rank(now + patience), Due::Overdue(id, job.pushes.len() - 1)));
         let engine = self.engines.get_mut(&at).expect("a listed engine");
+        engine.doubt.drawn = 0.0;
         engine.threads += category.threads;
         engine.pushes += 1;
         engine.ledger.granted += grant;
@@ -956,11 +959,6 @@
 
     // ---- the mechanisms beside the design ----
 
-    fn chance(&mut self) -> f64 {
-        self.draws += 1;
-        (mix((self.seed, self.draws)) >> 11) as f64 / (1u64 << 53) as f64
-    }
-
     /// What a tenant sends beyond its portion of our traffic earns less.
     fn fair_credit(&self, taken: &Taken) -> f64 {
         let credit = self.given.categories[taken.category].credit;
