Room counts every gateway's threads on an engine, by its reports or as if peers send alike

Cause: each gateway filled an engine to its own limit, so 84% of pushes met an overfull engine and its work fell. May hurt a gateway with far more traffic than its peers.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -256,26 +256,21 @@
     }
 }
 
-/// How many of our threads per core an engine may hold.
+/// How many threads per core an engine may hold before jobs are held here instead.
 struct Room {
     limit: f64,
-    start: f64,
+    /// The threads of our peers there, as far as its last report tells, and when it told.
+    peers: Option<(f64, f64)>,
 }
 
 impl Room {
-    /// Threads per core, all gateways together, to begin with.
-    const START: f64 = 2.0;
-
-    fn new(gateways: f64) -> Self {
-        let start = Self::START / gateways;
-        Room { limit: start, start }
-    }
+    const START: f64 = 1.6;
 
     fn tick(&mut self, pace: f64, used: f64) {
         if pace > 3.0 {
-            self.limit = (self.limit * 0.95).max(self.start * 0.5);
+            self.limit = (self.limit * 0.97).max(Self::START * 0.6);
         } else if pace < 2.0 && used > self.limit * 0.7 {
-            self.limit = (self.limit * 1.05).min(3.0);
+            self.limit = (self.limit * 1.03).min(Self::START * 1.5);
         }
     }
 }
@@ -428,7 +423,7 @@
                     at: listing,
                     ledger,
                     doubt: Doubt::new(now),
-                    room: Room::new(self.given.gateways),
+                    room: Room { limit: Room::START, peers: None },
                     threads: ours.0,
                     pushes: ours.1,
                     pace: Mean::default(),
@@ -522,6 +517,11 @@
     }
 
     fn read_load(engine: &mut EngineState, load: Load, now: f64) {
+        if let Some(jobs) = load.jobs {
+            // Its jobs are taken to have as many threads each as ours there.
+            let each = if engine.pushes > 0 { engine.threads / f64::from(engine.pushes) } else { 1.0 };
+            engine.room.peers = Some(((jobs - f64::from(engine.pushes)).max(0.0) * each, now));
+        }
         if load.memory_granted.is_some_and(|share| share >= 0.98) {
             engine.ledger.press(now);
         }
@@ -563,7 +563,7 @@
                 }
                 Ending::Full => {
                     engine.ledger.press(now);
-                    engine.room.limit = (engine.room.limit * 0.9).max(engine.room.start * 0.5);
+                    engine.room.limit = (engine.room.limit * 0.9).max(Room::START * 0.6);
                 }
                 Ending::Unreached => engine.doubt.add(0.0, 3.0, now),
                 Ending::Erred | Ending::Broken => engine.doubt.add(0.0, 1.0, now),
@@ -639,13 +639,14 @@
             let Threshold { theta, last_wait, last_total, .. } = self.theta;
             self.log.push(format!("θ {theta:.6}: wait {last_wait:.3} s, wait and run {last_total:.3} s"));
         }
+        let assumed = self.peers_per_core();
         for (id, engine) in &mut self.engines {
             engine.ledger.tick(now);
             engine.doubt.fade(now);
             self.draws += 1;
             engine.doubt.draw((mix((self.seed, self.draws)) >> 11) as f64 / (1u64 << 53) as f64);
             let cores = self.given.kinds.get(engine.at.kind).map_or(1.0, |kind| kind.cores);
-            engine.room.tick(engine.pace.or(1.0), engine.threads / cores);
+            engine.room.tick(engine.pace.or(1.0), (engine.threads + assumed * cores) / cores);
             let (mean, doubted) = (engine.doubt.mean(), engine.doubt.doubted);
             if doubted != (mean < Doubt::TRUST) {
                 engine.doubt.doubted = !doubted;
@@ -742,7 +743,7 @@
         let best = best.map(|engine| engine.doubt.mean()).fold(0.0, f64::max);
         let mut open = Vec::new();
         for (_, at) in order {
-            if !self.may_push(id, at, now) || !self.has_room(id, at, light) {
+            if !self.may_push(id, at, now) || !self.has_room(id, at, light, now) {
                 continue;
             }
             // One light job at a time, and one a draw, tries out an engine in doubt: whatever ails it (dead,
@@ -754,10 +755,7 @@
             }
             open.push(at);
         }
-        let per_core = |at: &usize| {
-            let engine = &self.engines[at];
-            engine.threads / self.given.kinds.get(engine.at.kind).map_or(1.0, |kind| kind.cores)
-        };
+        let per_core = |at: &usize| self.engines[at].threads / self.cores(&self.engines[at]);
         let fitting = open.iter().filter(|at| self.engines[at].ledger.fits(grant, now));
         let choice = fitting.take(FIRST_FITTING).min_by(|a, b| per_core(a).total_cmp(&per_core(b)));
         if let Some(&at) = choice {
@@ -777,13 +775,30 @@
         false
     }
 
-    fn has_room(&self, id: usize, at: usize, light: bool) -> bool {
+    /// Threads per core that our peers hold on an engine that tells nothing, if each sends what we send.
+    fn peers_per_core(&self) -> f64 {
+        let ready = self.engines.values().filter(|engine| engine.at.stage == Stage::Ready);
+        let (threads, cores) = ready.fold((0.0, 1e-9), |(threads, cores), engine| {
+            (threads + engine.threads, cores + self.cores(engine))
+        });
+        (self.given.gateways - 1.0) * threads / cores
+    }
+
+    fn cores(&self, engine: &EngineState) -> f64 {
+        self.given.kinds.get(engine.at.kind).map_or(1.0, |kind| kind.cores)
+    }
+
+    fn has_room(&self, id: usize, at: usize, light: bool, now: f64) -> bool {
         let engine = &self.engines[&at];
-        let cores = self.given.kinds.get(engine.at.kind).map_or(1.0, |kind| kind.cores);
+        let cores = self.cores(engine);
+        let peers = match engine.room.peers {
+            Some((threads, told)) if now < told + 2.0 => threads,
+            _ => self.peers_per_core() * cores,
+        };
         let threads = self.given.categories[self.jobs[&id].taken.category].threads;
         // Light jobs may pass the heavy ones that fill an engine.
-        let limit = if light { engine.room.limit * 1.5 + 1.0 / cores } else { engine.room.limit };
-        engine.pushes == 0 || engine.threads + threads <= limit * cores
+        let limit = if light { engine.room.limit * 1.5 } else { engine.room.limit };
+        engine.threads + peers + threads <= limit * cores || (engine.pushes == 0 && peers < limit * cores)
     }
 
     fn push(&mut self, now: f64, id: usize, at: usize, grant: f64, quarter: bool, out: &mut dyn Writer) {
