A slow answer counts as half a failure beside a success

Cause: in a crowd slow answers made gateways doubt most engines, and doubted ones take one light job at a time.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -552,8 +552,8 @@
                 Ending::Delivered => {
                     let pace = end.spent * threads / work.max(1e-3);
                     // Slow against what the category takes elsewhere: a slow machine, a pause, a crowd.
-                    let slow = pace > 3.0 * learned.pace() && end.spent > 0.3;
-                    engine.doubt.add(f64::from(u8::from(!slow)), f64::from(u8::from(slow)), now);
+                    let slow = pace > 4.0 * learned.pace() && end.spent > 0.5;
+                    engine.doubt.add(1.0, if slow { 0.5 } else { 0.0 }, now);
                     engine.last_answer = now;
                     engine.pace.add(pace, work, 0.9);
                     engine.best_pace = engine.best_pace.min(engine.pace.or(pace)) * 1.001;
