--- a/src/logic.rs
+++ b/src/logic.rs
@@ -68,6 +68,8 @@
 impl Threshold {
     const STEP: f64 = 0.25;
     const PERIOD: f64 = 2.0;
+    /// Waits that are no more than this part of the work count as none.
+    const NO_WAIT: f64 = 0.05;
 
     fn new(now: f64) -> Self {
         Threshold {
@@ -102,14 +104,19 @@
 
     /// Moves θ once a period; tells whether it moved.
     fn review(&mut self, now: f64) -> bool {
-        if now < self.review_at || self.runs.weight < 10.0 {
+        if now < self.review_at || self.runs.weight < 3.0 {
             return false;
         }
         self.review_at = now + Self::PERIOD;
+        // Both for each second of work a thread, so that a few heavy jobs do not pass for a change.
         let (wait, run) = (self.waits.sum / self.runs.weight, self.runs.or(0.0));
         let (before, total) = (self.theta, wait + run);
-        if !self.climbing {
-            if wait > self.last_wait * 1.1 + 0.001 {
+        if wait < Self::NO_WAIT {
+            // Memory that nobody waits for is not worth a spill: θ falls until every job gets its best grant.
+            self.climbing = false;
+            self.theta = if before < self.median() / 4.0 { 0.0 } else { before * (1.0 - Self::STEP) };
+        } else if !self.climbing {
+            if wait > self.last_wait * 1.1 {
                 if before == 0.0 {
                     self.theta = self.median();
                 } else {
@@ -574,7 +581,7 @@
         if end.ending == Ending::Delivered {
             let pace = if quarter { &mut learned.quarter_pace } else { &mut learned.pace };
             pace.add(end.spent * threads / work.max(1e-3), work, 0.99);
-            self.theta.runs.add(end.spent, 1.0, 1.0);
+            self.theta.runs.add(end.spent * threads / work.max(1e-3), work / threads, 1.0);
             self.theta.waits.add(job.ledger_wait, 1.0, 1.0);
             if end.told.is_some() {
                 learned.work.add(work, 1.0, 0.99);
@@ -637,7 +644,9 @@
     fn tick(&mut self, now: f64) {
         if self.theta.review(now) {
             let Threshold { theta, last_wait, last_total, .. } = self.theta;
-            self.log.push(format!("θ {theta:.6}: wait {last_wait:.3} s, wait and run {last_total:.3} s"));
+            self.log.push(format!(
+                "θ {theta:.6}: waits {last_wait:.3} of the work, waits and runs {last_total:.3}"
+            ));
         }
         let assumed = self.peers_per_core();
         for (id, engine) in &mut self.engines {
