--- a/src/logic.rs
+++ b/src/logic.rs
@@ -527,12 +527,6 @@
         if let Some(jobs) = load.jobs {
             // Its jobs are taken to have as many threads each as ours there.
             let each = if engine.pushes > 0 { engine.threads / f64::from(engine.pushes) } else { 1.0 };
-            // Full, as far as it can be told from here: all its jobs hold what ours hold.
-            if engine.ledger.open > 0
-                && jobs * engine.ledger.granted / f64::from(engine.ledger.open) > 0.85 * engine.ledger.whole
-            {
-                engine.ledger.press(now);
-            }
             engine.room.peers = Some(((jobs - f64::from(engine.pushes)).max(0.0) * each, now));
         }
         if load.memory_granted.is_some_and(|share| share >= 0.98) {
