--- a/src/logic.rs
+++ b/src/logic.rs
@@ -564,7 +564,7 @@
                     engine.last_answer = now;
                     engine.pace.add(pace, work, 0.9);
                     engine.best_pace = engine.best_pace.min(engine.pace.or(pace)) * 1.001;
-                    if engine.pace.or(1.0) > 8.0 * engine.best_pace {
+                    if engine.pace.or(1.0) > 2.5 * engine.best_pace {
                         engine.ledger.press(now);
                     }
                 }
