--- a/src/logic.rs
+++ b/src/logic.rs
@@ -266,8 +266,10 @@
 /// How many threads per core an engine may hold before jobs are held here instead.
 struct Room {
     limit: f64,
-    /// The threads of our peers there, as far as its last report tells, and when it told.
-    peers: Option<(f64, f64)>,
+    /// The threads of our peers there, as its reports tell, and when the last one did. Reports are late and
+    /// noisy: only their mean, which may pass below zero, is told apart from our own pushes.
+    peers: Mean,
+    told: f64,
 }
 
 impl Room {
@@ -430,7 +432,7 @@
                     at: listing,
                     ledger,
                     doubt: Doubt::new(now),
-                    room: Room { limit: Room::START, peers: None },
+                    room: Room { limit: Room::START, peers: Mean::default(), told: f64::NEG_INFINITY },
                     threads: ours.0,
                     pushes: ours.1,
                     pace: Mean::default(),
@@ -527,7 +529,8 @@
         if let Some(jobs) = load.jobs {
             // Its jobs are taken to have as many threads each as ours there.
             let each = if engine.pushes > 0 { engine.threads / f64::from(engine.pushes) } else { 1.0 };
-            engine.room.peers = Some(((jobs - f64::from(engine.pushes)).max(0.0) * each, now));
+            engine.room.peers.add((jobs - f64::from(engine.pushes)) * each, 1.0, 0.8);
+            engine.room.told = now;
         }
         if load.memory_granted.is_some_and(|share| share >= 0.98) {
             engine.ledger.press(now);
@@ -800,9 +803,9 @@
     fn has_room(&self, id: usize, at: usize, light: bool, now: f64) -> bool {
         let engine = &self.engines[&at];
         let cores = self.cores(engine);
-        let peers = match engine.room.peers {
-            Some((threads, told)) if now < told + 2.0 => threads,
-            _ => self.peers_per_core() * cores,
+        let peers = match now < engine.room.told + 2.0 {
+            true => engine.room.peers.or(0.0).max(0.0),
+            false => self.peers_per_core() * cores,
         };
         let threads = self.given.categories[self.jobs[&id].taken.category].threads;
         // Light jobs may pass the heavy ones that fill an engine.
