--- a/src/logic.rs
+++ b/src/logic.rs
@@ -61,7 +61,8 @@
     last_total: f64,
     waits: Mean,
     runs: Mean,
-    recent: VecDeque<f64>,
+    /// ROC and memory of recent best grants.
+    recent: VecDeque<(f64, f64)>,
     review_at: f64,
 }
 
@@ -87,19 +88,26 @@
         }
     }
 
-    fn saw(&mut self, roc: f64) {
+    fn saw(&mut self, roc: f64, memory: f64) {
         if roc.is_finite() && roc > 0.0 {
-            self.recent.push_back(roc);
+            self.recent.push_back((roc, memory));
             if self.recent.len() > 101 {
                 self.recent.pop_front();
             }
         }
     }
 
+    /// The ROC that parts the memory asked for in half: by count, many small jobs would push θ past
+    /// every large one.
     fn median(&self) -> f64 {
-        let mut sorted: Vec<f64> = self.recent.iter().copied().collect();
-        sorted.sort_by(f64::total_cmp);
-        sorted.get(sorted.len() / 2).copied().unwrap_or(0.0)
+        let mut sorted: Vec<(f64, f64)> = self.recent.iter().copied().collect();
+        sorted.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut left = sorted.iter().map(|(_, memory)| memory).sum::<f64>() / 2.0;
+        let at = sorted.iter().find(|(_, memory)| {
+            left -= memory;
+            left <= 0.0
+        });
+        at.map_or(0.0, |(roc, _)| *roc)
     }
 
     /// Moves θ once a period; tells whether it moved.
@@ -730,7 +738,7 @@
             return (full, full, false);
         }
         let roc = (slow - fast) / extra;
-        self.theta.saw(roc);
+        self.theta.saw(roc, full);
         if roc > self.theta.theta {
             (full, quarter, false)
         } else {
