--- a/crates/adapter/src/start.rs
+++ b/crates/adapter/src/start.rs
@@ -151,6 +151,7 @@
         kinds,
         largest_share: pairs.number("family-info.largest-share", 1.0)?,
         grants: pairs.flag("family-info.grants-count"),
+        trims: pairs.text("family-info.overbooked") == Some("trim"),
         lanes: pairs.flag("family-info.takes-priority"),
         call_off: pairs.flag("limits.cancel"),
         copies: pairs.flag("limits.second-copies"),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -78,6 +78,8 @@
     /// The most of an engine's memory that one job gets.
     pub largest_share: f64,
     pub grants: bool,
+    /// Engines short of memory give a job less than its grant.
+    pub trims: bool,
     pub lanes: bool,
     pub call_off: bool,
     pub copies: bool,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -520,7 +520,8 @@
                 engine.ledger.shrink(now);
                 self.theta.waits.add(1.0, 1.0, 1.0);
             }
-            Note::Spills if !push.quarter => engine.ledger.shrink(now),
+            // Where grants are honoured, a spill tells of a heavy draw, not of pressure.
+            Note::Spills if !push.quarter && self.given.trims => engine.ledger.shrink(now),
             _ => {}
         }
     }
