Timed-out work that may go on still counts on its engine; no gateway takes over twice its share

Cause: in the billing incident five gateways filled idle engines before reports told, and each time-out freed a slot while the work went on, until engines held 80 jobs each and answered none.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -315,6 +315,8 @@
     out: bool,
     may_have_run: bool,
     called_off: bool,
+    /// It counts on its engine: out, or timed out where the work may well go on.
+    counts: bool,
 }
 
 struct Job {
@@ -348,6 +350,7 @@
     CutOff(usize),
     TooLate(usize),
     Overdue(usize, usize),
+    Settled(usize, usize),
 }
 
 pub struct Gateway {
@@ -551,21 +554,17 @@
 
     pub fn push_over(&mut self, now: f64, end: &PushEnd) {
         let Some(job) = self.jobs.get_mut(&end.job) else { return };
-        let Some(push) = job.pushes.iter_mut().find(|push| push.out && push.engine == end.engine) else {
-            return;
-        };
+        let sent_there = |push: &Push| push.out && push.engine == end.engine;
+        let Some(index) = job.pushes.iter().position(sent_there) else { return };
+        let push = &mut job.pushes[index];
         push.out = false;
         push.may_have_run = !end.ending.never_ran();
-        let (sent, grant, quarter) = (push.sent, push.grant, push.quarter);
+        let (sent, quarter) = (push.sent, push.quarter);
         let category = &self.given.categories[job.taken.category];
         let (threads, key) = (category.threads, job.taken.key.filter(|_| category.in_key_order));
         let (work, memory) = end.told.unwrap_or((job.work, job.memory));
         let learned = &mut self.learned[job.taken.category];
         if let Some(engine) = self.engines.get_mut(&end.engine) {
-            engine.threads -= threads;
-            engine.pushes -= 1;
-            engine.ledger.granted = (engine.ledger.granted - grant).max(0.0);
-            engine.ledger.open -= 1;
             Self::read_load(engine, end.load, now);
             match end.ending {
                 Ending::Delivered => {
@@ -611,14 +610,35 @@
                 line.rests_until = line.rests_until.max(now + self.given.key_rest);
             }
         }
+        // Work timed out where nothing stops it goes on: it counts for twice as long again, so that an engine
+        // that crawls is not sent ever more in its place.
+        if end.ending == Ending::TimedOut && !self.given.call_off {
+            self.due.insert((rank(now + 2.0 * end.spent), Due::Settled(end.job, index)));
+        } else {
+            self.settle(end.job, index);
+        }
         if end.job_over {
             self.close_job(now, end.job);
-        } else if !job.over && !job.out() {
+        } else if let Some(job) = self.jobs.get(&end.job).filter(|job| !job.over && !job.out()) {
             self.held.insert((u64::MAX - rank(job.density), end.job));
         }
         self.forget_if_done(end.job);
     }
 
+    /// A push no longer counts on its engine.
+    fn settle(&mut self, id: usize, index: usize) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let push = &mut job.pushes[index];
+        push.counts = false;
+        if let Some(engine) = self.engines.get_mut(&push.engine) {
+            engine.threads -= self.given.categories[job.taken.category].threads;
+            engine.pushes -= 1;
+            engine.ledger.granted = (engine.ledger.granted - push.grant).max(0.0);
+            engine.ledger.open -= 1;
+        }
+        self.forget_if_done(id);
+    }
+
     // ---- the round ----
 
     pub fn round(&mut self, now: f64, out: &mut dyn Writer) {
@@ -635,6 +655,7 @@
                 Due::CutOff(id) => self.end(now, id, out),
                 Due::TooLate(id) => self.too_late(now, id, out),
                 Due::Overdue(id, push) => self.overdue(now, id, push, out),
+                Due::Settled(id, push) => self.settle(id, push),
             }
         }
         if now >= self.next_tick {
@@ -819,7 +840,10 @@
         let threads = self.given.categories[self.jobs[&id].taken.category].threads;
         // Light jobs may pass the heavy ones that fill an engine.
         let limit = if light { engine.room.limit * 1.5 } else { engine.room.limit };
-        engine.threads + peers + threads <= limit * cores || (engine.pushes == 0 && peers < limit * cores)
+        // Before reports tell, or when they lag, no gateway takes more than twice its share.
+        let ours = engine.threads + threads <= 2.0 * limit * cores / self.given.gateways;
+        let all = engine.threads + peers + threads <= limit * cores;
+        (ours && all) || (engine.pushes == 0 && peers < limit * cores)
     }
 
     fn push(&mut self, now: f64, id: usize, at: usize, grant: f64, quarter: bool, out: &mut dyn Writer) {
@@ -836,8 +860,17 @@
         if !job.pushes.is_empty() {
             self.repeats.push_back(now);
         }
-        let (engine, sent, called_off) = (at, now, false);
-        job.pushes.push(Push { engine, sent, grant, quarter, out: true, may_have_run: true, called_off });
+        let push = Push {
+            engine: at,
+            sent: now,
+            grant,
+            quarter,
+            out: true,
+            may_have_run: true,
+            called_off: false,
+            counts: true,
+        };
+        job.pushes.push(push);
         self.due.insert((rank(now + patience), Due::Overdue(id, job.pushes.len() - 1)));
         let engine = self.engines.get_mut(&at).expect("a listed engine");
         engine.doubt.drawn = 0.0;
@@ -986,11 +1019,12 @@
 
     fn forget_if_done(&mut self, id: usize) {
         let Some(job) = self.jobs.get(&id).filter(|job| job.over && !job.out()) else { return };
-        if let (true, Some(key)) = (self.given.categories[job.taken.category].in_key_order, job.taken.key) {
-            let line = self.keys.get_mut(&key).expect("its line");
+        if let Some(line) = job.taken.key.and_then(|key| self.keys.get_mut(&key)) {
             line.jobs.retain(|&other| other != id);
         }
-        self.jobs.remove(&id);
+        if !job.pushes.iter().any(|push| push.counts) {
+            self.jobs.remove(&id);
+        }
     }
 
     // ---- the mechanisms beside the design ----
