--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -347,7 +347,7 @@
             "OUTCOME" => self.outcome(now, fields),
             "WITHDRAWN" => {
                 if let Some(&job) = self.ids.job_of.get(&fields.whole("req")?) {
-                    self.gateway.job_withdrawn(now, job);
+                    self.gateway.job_withdrawn(job);
                     self.ids.over(job);
                 }
                 Ok(())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,7 +49,7 @@
 }
 
 /// What a cold engine stands.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct ColdStart {
     pub from: f64,
     pub warm_after: f64,
@@ -66,7 +66,7 @@
 }
 
 /// What a deployment is made of and what it allows, as told at the start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Deployment {
     pub gateways: f64,
     pub categories: Vec<Category>,
@@ -95,15 +95,16 @@
 }
 
 /// What the list says of an engine.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Stage {
+    #[default]
     Ready,
     Draining,
     Gone,
 }
 
 /// One engine on the list.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Listing {
     pub engine: usize,
     /// Steady across gateways: the same engine hashes alike everywhere.
@@ -116,7 +117,7 @@
 }
 
 /// A job as it was taken.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Taken {
     pub category: usize,
     pub tenant: Option<usize>,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -51,6 +51,7 @@
 }
 
 /// θ and its climb.
+#[derive(Default)]
 struct Threshold {
     theta: f64,
     step: f64,
@@ -72,22 +73,6 @@
     /// Waits that are no more than this part of the work count as none.
     const NO_WAIT: f64 = 0.05;
 
-    fn new(now: f64) -> Self {
-        Threshold {
-            theta: 0.0,
-            step: Self::STEP,
-            up: true,
-            climbing: false,
-            reversals: 0,
-            last_wait: 0.0,
-            last_total: f64::INFINITY,
-            waits: Mean::default(),
-            runs: Mean::default(),
-            recent: VecDeque::new(),
-            review_at: now + Self::PERIOD,
-        }
-    }
-
     fn saw(&mut self, roc: f64, memory: f64) {
         if roc.is_finite() && roc > 0.0 {
             self.recent.push_back((roc, memory));
@@ -153,27 +138,22 @@
 }
 
 /// Our open grants on one engine.
+#[derive(Default)]
 struct Ledger {
     granted: f64,
     open: u32,
     limit: f64,
     start: f64,
     whole: f64,
-    pressed_until: f64,
+    pressed_until: Option<f64>,
     shrunk_at: f64,
 }
 
 impl Ledger {
     const PRESSURE_LASTS: f64 = 2.0;
 
-    fn new(memory_mb: f64, gateways: f64) -> Self {
-        let start = memory_mb / gateways;
-        let (granted, open, pressed_until, shrunk_at) = (0.0, 0, -1.0, 0.0);
-        Ledger { granted, open, limit: start, start, whole: memory_mb, pressed_until, shrunk_at }
-    }
-
     fn binds(&self, now: f64) -> bool {
-        now < self.pressed_until
+        self.pressed_until.is_some_and(|until| now < until)
     }
 
     fn fits(&self, grant: f64, now: f64) -> bool {
@@ -185,7 +165,7 @@
     }
 
     fn press(&mut self, now: f64) {
-        self.pressed_until = now + Self::PRESSURE_LASTS;
+        self.pressed_until = Some(now + Self::PRESSURE_LASTS);
     }
 
     /// A wait for memory or a spill that no grant of ours meant.
@@ -231,6 +211,7 @@
 }
 
 /// Evidence on whether an engine answers well; old evidence fades.
+#[derive(Default)]
 struct Doubt {
     good: f64,
     bad: f64,
@@ -244,10 +225,6 @@
     const HALF_LIFE: f64 = 4.0;
     const TRUST: f64 = 0.75;
 
-    fn new(now: f64) -> Self {
-        Doubt { good: 0.0, bad: 0.0, at: now, doubted: false, drawn: 1.0 }
-    }
-
     fn fade(&mut self, now: f64) {
         let keep = 0.5_f64.powf((now - self.at) / Self::HALF_LIFE);
         (self.good, self.bad, self.at) = (self.good * keep, self.bad * keep, now);
@@ -272,12 +249,13 @@
 }
 
 /// How many threads per core an engine may hold before jobs are held here instead.
+#[derive(Default)]
 struct Room {
     limit: f64,
     /// The threads of our peers there, as its reports tell, and when the last one did. Reports are late and
     /// noisy: only their mean, which may pass below zero, is told apart from our own pushes.
     peers: Mean,
-    told: f64,
+    told: Option<f64>,
 }
 
 impl Room {
@@ -292,33 +270,37 @@
     }
 }
 
+#[derive(Default)]
 struct EngineState {
     at: Listing,
+    cores: f64,
     ledger: Ledger,
     doubt: Doubt,
     room: Room,
     threads: f64,
     pushes: u32,
     pace: Mean,
-    best_pace: f64,
+    best_pace: Option<f64>,
     last_answer: f64,
     /// Work pushed of late, by usual weight, for the cold ramp.
     sent: VecDeque<(f64, f64)>,
     cold: bool,
 }
 
+#[derive(Default)]
 struct Push {
     engine: usize,
     sent: f64,
     grant: f64,
     quarter: bool,
     out: bool,
-    may_have_run: bool,
+    never_ran: bool,
     called_off: bool,
-    /// It counts on its engine: out, or timed out where the work may well go on.
-    counts: bool,
+    /// It no longer counts on its engine: over, and its work not taken to go on.
+    settled: bool,
 }
 
+#[derive(Default)]
 struct Job {
     taken: Taken,
     at: f64,
@@ -353,6 +335,7 @@
     Settled(usize, usize),
 }
 
+#[derive(Default)]
 pub struct Gateway {
     given: Deployment,
     seed: u64,
@@ -369,10 +352,10 @@
     density: Mean,
     tenants: Vec<Mean>,
     next_tick: f64,
-    armed: f64,
-    watch_at: f64,
-    turned_back_at: f64,
-    turning_back: bool,
+    armed: Option<f64>,
+    watch_at: Option<f64>,
+    /// When the last job was turned back, while that mode lasts.
+    turning_back: Option<f64>,
     log: Vec<String>,
 }
 
@@ -390,26 +373,13 @@
 impl Gateway {
     pub fn new(given: Deployment, seed: u64, now: f64) -> Self {
         Gateway {
-            seed,
-            draws: 0,
-            theta: Threshold::new(now),
             learned: vec![Learned::default(); given.categories.len()],
-            engines: BTreeMap::new(),
-            jobs: BTreeMap::new(),
-            held: BTreeSet::new(),
-            keys: BTreeMap::new(),
-            due: BTreeSet::new(),
-            taken_at: VecDeque::new(),
-            repeats: VecDeque::new(),
-            density: Mean::default(),
             tenants: vec![Mean::default(); given.tenants.len()],
+            watch_at: given.ask_within.map(|_| now),
             next_tick: now + TICK,
-            armed: f64::NEG_INFINITY,
-            watch_at: if given.ask_within.is_some() { now } else { f64::INFINITY },
-            turned_back_at: f64::NEG_INFINITY,
-            turning_back: false,
-            log: Vec::new(),
+            seed,
             given,
+            ..Gateway::default()
         }
     }
 
@@ -422,45 +392,32 @@
             }
         }
         for &listing in listings {
-            let fresh = match self.engines.get_mut(&listing.engine) {
-                Some(engine) if engine.at.since == listing.since => {
-                    engine.at = listing;
-                    false
-                }
-                _ => true,
-            };
-            if fresh {
-                let (ours, was) = match self.engines.remove(&listing.engine) {
-                    Some(old) => ((old.threads, old.pushes, old.sent), Some(old.ledger)),
-                    None => ((0.0, 0, VecDeque::new()), None),
-                };
-                let memory = self.given.kinds.get(listing.kind).map_or(0.0, |kind| kind.memory_mb);
-                let mut ledger = Ledger::new(memory, self.given.gateways);
-                if let Some(was) = was {
-                    (ledger.granted, ledger.open) = (was.granted, was.open);
-                }
-                let state = EngineState {
-                    at: listing,
-                    ledger,
-                    doubt: Doubt::new(now),
-                    room: Room { limit: Room::START, peers: Mean::default(), told: f64::NEG_INFINITY },
-                    threads: ours.0,
-                    pushes: ours.1,
-                    pace: Mean::default(),
-                    best_pace: f64::INFINITY,
+            let state = self.engines.entry(listing.engine).or_default();
+            if state.cores == 0.0 || state.at.since != listing.since {
+                // New or started anew: nothing learned of it holds, but what we sent is still out.
+                let kind = self.given.kinds.get(listing.kind);
+                let whole = kind.map_or(0.0, |kind| kind.memory_mb);
+                let start = whole / self.given.gateways;
+                let Ledger { granted, open, .. } = state.ledger;
+                *state = EngineState {
+                    cores: kind.map_or(1.0, |kind| kind.cores),
+                    ledger: Ledger { granted, open, limit: start, start, whole, ..Ledger::default() },
+                    room: Room { limit: Room::START, ..Room::default() },
+                    threads: state.threads,
+                    pushes: state.pushes,
+                    sent: std::mem::take(&mut state.sent),
                     last_answer: now,
-                    sent: ours.2,
-                    cold: false,
+                    ..EngineState::default()
                 };
-                self.engines.insert(listing.engine, state);
             }
+            state.at = listing;
         }
     }
 
     /// The list could not be had; the old one stands, and a new subscription is asked for in a while.
     pub fn list_failed(&mut self, now: f64) {
         if self.given.ask_within.is_some() {
-            self.watch_at = now + 1.0;
+            self.watch_at = Some(now + 1.0);
         }
         self.log.push(format!("list out of reach, {} engines known", self.engines.len()));
     }
@@ -470,14 +427,9 @@
         let category = &self.given.categories[taken.category];
         let learned = &mut self.learned[taken.category];
         let keep = 0.995;
-        let work = match taken.cost {
-            Some(cost) => cost * learned.work_ratio.or(1.0),
-            None => learned.work.or(1.0),
-        };
-        let memory = match taken.memory_mb {
-            Some(memory) => memory * learned.memory_ratio.or(1.0),
-            None => learned.memory.or(0.0),
-        };
+        let work = taken.cost.map(|cost| cost * learned.work_ratio.or(1.0)).unwrap_or(learned.work.or(1.0));
+        let memory = taken.memory_mb.map(|estimate| estimate * learned.memory_ratio.or(1.0));
+        let memory = memory.unwrap_or(learned.memory.or(0.0));
         if learned.work.weight == 0.0 {
             learned.work.add(work, 0.01, 1.0);
         }
@@ -488,18 +440,7 @@
         let credit = self.fair_credit(&taken);
         let density = credit / work.max(1e-3);
         self.density.add(density, work, keep);
-        let job = Job {
-            taken,
-            at: now,
-            work,
-            memory,
-            density,
-            expected_at,
-            ledger_held_at: None,
-            ledger_wait: 0.0,
-            pushes: Vec::new(),
-            over: false,
-        };
+        let job = Job { taken, at: now, work, memory, density, expected_at, ..Job::default() };
         if let (true, Some(key)) = (self.given.categories[taken.category].in_key_order, taken.key) {
             self.keys.entry(key).or_default().jobs.push_back(id);
         }
@@ -509,8 +450,8 @@
         self.jobs.insert(id, job);
     }
 
-    pub fn job_withdrawn(&mut self, now: f64, id: usize) {
-        self.close_job(now, id);
+    pub fn job_withdrawn(&mut self, id: usize) {
+        self.close_job(id);
     }
 
     pub fn push_noted(&mut self, now: f64, id: usize, note: Note) {
@@ -542,7 +483,7 @@
             // Its jobs are taken to have as many threads each as ours there.
             let each = if engine.pushes > 0 { engine.threads / f64::from(engine.pushes) } else { 1.0 };
             engine.room.peers.add((jobs - f64::from(engine.pushes)) * each, 1.0, 0.8);
-            engine.room.told = now;
+            engine.room.told = Some(now);
         }
         if load.memory_granted.is_some_and(|share| share >= 0.98) {
             engine.ledger.press(now);
@@ -558,7 +499,7 @@
         let Some(index) = job.pushes.iter().position(sent_there) else { return };
         let push = &mut job.pushes[index];
         push.out = false;
-        push.may_have_run = !end.ending.never_ran();
+        push.never_ran = end.ending.never_ran();
         let (sent, quarter) = (push.sent, push.quarter);
         let category = &self.given.categories[job.taken.category];
         let (threads, key) = (category.threads, job.taken.key.filter(|_| category.in_key_order));
@@ -574,8 +515,9 @@
                     engine.doubt.add(1.0, if slow { 0.5 } else { 0.0 }, now);
                     engine.last_answer = now;
                     engine.pace.add(pace, work, 0.9);
-                    engine.best_pace = engine.best_pace.min(engine.pace.or(pace)) * 1.001;
-                    if engine.pace.or(1.0) > 2.5 * engine.best_pace {
+                    let best = engine.best_pace.unwrap_or(pace).min(engine.pace.or(pace)) * 1.001;
+                    engine.best_pace = Some(best);
+                    if engine.pace.or(1.0) > 2.5 * best {
                         engine.ledger.press(now);
                     }
                 }
@@ -618,9 +560,10 @@
             self.settle(end.job, index);
         }
         if end.job_over {
-            self.close_job(now, end.job);
+            self.close_job(end.job);
         } else if let Some(job) = self.jobs.get(&end.job).filter(|job| !job.over && !job.out()) {
             self.held.insert((u64::MAX - rank(job.density), end.job));
+            self.due.insert((rank(self.last_start(job)), Due::TooLate(end.job)));
         }
         self.forget_if_done(end.job);
     }
@@ -629,7 +572,7 @@
     fn settle(&mut self, id: usize, index: usize) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let push = &mut job.pushes[index];
-        push.counts = false;
+        push.settled = true;
         if let Some(engine) = self.engines.get_mut(&push.engine) {
             engine.threads -= self.given.categories[job.taken.category].threads;
             engine.pushes -= 1;
@@ -642,8 +585,8 @@
     // ---- the round ----
 
     pub fn round(&mut self, now: f64, out: &mut dyn Writer) {
-        if now >= self.watch_at {
-            self.watch_at = f64::INFINITY;
+        if self.watch_at.is_some_and(|at| now >= at) {
+            self.watch_at = None;
             out.watch(true);
         }
         while let Some(&(at, due)) = self.due.first() {
@@ -652,7 +595,7 @@
             }
             self.due.pop_first();
             match due {
-                Due::CutOff(id) => self.end(now, id, out),
+                Due::CutOff(id) => self.end(id, out),
                 Due::TooLate(id) => self.too_late(now, id, out),
                 Due::Overdue(id, push) => self.overdue(now, id, push, out),
                 Due::Settled(id, push) => self.settle(id, push),
@@ -667,9 +610,9 @@
             out.log(&line);
         }
         let next = self.due.first().map_or(f64::INFINITY, |&(at, _)| f64::from_bits(at));
-        let next = next.min(self.next_tick).min(self.watch_at);
-        if self.armed <= now || next < self.armed {
-            self.armed = next;
+        let next = next.min(self.next_tick).min(self.watch_at.unwrap_or(f64::INFINITY));
+        if self.armed.is_none_or(|at| at <= now || next < at) {
+            self.armed = Some(next);
             out.wake(next);
         }
     }
@@ -687,8 +630,7 @@
             engine.doubt.fade(now);
             self.draws += 1;
             engine.doubt.draw((mix((self.seed, self.draws)) >> 11) as f64 / (1u64 << 53) as f64);
-            let cores = self.given.kinds.get(engine.at.kind).map_or(1.0, |kind| kind.cores);
-            engine.room.tick(engine.pace.or(1.0), (engine.threads + assumed * cores) / cores);
+            engine.room.tick(engine.pace.or(1.0), engine.threads / engine.cores + assumed);
             let (mean, doubted) = (engine.doubt.mean(), engine.doubt.doubted);
             if doubted != (mean < Doubt::TRUST) {
                 engine.doubt.doubted = !doubted;
@@ -704,14 +646,10 @@
             }
         }
         let window = self.repeat_budget().window.max(1.0);
-        while self.taken_at.front().is_some_and(|&at| at < now - window) {
-            self.taken_at.pop_front();
-        }
-        while self.repeats.front().is_some_and(|&at| at < now - window) {
-            self.repeats.pop_front();
-        }
-        if self.turning_back && now > self.turned_back_at + 5.0 {
-            self.turning_back = false;
+        self.taken_at.retain(|&at| at >= now - window);
+        self.repeats.retain(|&at| at >= now - window);
+        if self.turning_back.is_some_and(|last| now > last + 5.0) {
+            self.turning_back = None;
             self.log.push(format!("turning none back: {} held", self.held.len()));
         }
     }
@@ -721,23 +659,13 @@
         let waiting: Vec<(u64, usize)> = self.held.iter().copied().collect();
         let mut failures = 0;
         for entry in waiting {
-            let id = entry.1;
-            if !self.jobs.contains_key(&id) {
-                self.held.remove(&entry);
-                continue;
-            }
-            if self.can_never_push(id, now) {
-                self.held.remove(&entry);
-                self.end(now, id, out);
-                continue;
-            }
-            if failures >= 12 {
-                continue;
-            }
-            if self.place(now, id, out) {
-                self.held.remove(&entry);
-            } else {
-                failures += 1;
+            if self.can_never_push(entry.1, now) {
+                self.end(entry.1, out);
+            } else if failures < 12 {
+                match self.place(now, entry.1, out) {
+                    true => drop(self.held.remove(&entry)),
+                    false => failures += 1,
+                }
             }
         }
     }
@@ -797,7 +725,7 @@
             }
             open.push(at);
         }
-        let per_core = |at: &usize| self.engines[at].threads / self.cores(&self.engines[at]);
+        let per_core = |at: &usize| self.engines[at].threads / self.engines[at].cores;
         let fitting = open.iter().filter(|at| self.engines[at].ledger.fits(grant, now));
         let choice = fitting.take(FIRST_FITTING).min_by(|a, b| per_core(a).total_cmp(&per_core(b)));
         if let Some(&at) = choice {
@@ -820,20 +748,15 @@
     /// Threads per core that our peers hold on an engine that tells nothing, if each sends what we send.
     fn peers_per_core(&self) -> f64 {
         let ready = self.engines.values().filter(|engine| engine.at.stage == Stage::Ready);
-        let (threads, cores) = ready.fold((0.0, 1e-9), |(threads, cores), engine| {
-            (threads + engine.threads, cores + self.cores(engine))
-        });
+        let (threads, cores) = ready
+            .fold((0.0, 1e-9), |(threads, cores), engine| (threads + engine.threads, cores + engine.cores));
         (self.given.gateways - 1.0) * threads / cores
     }
 
-    fn cores(&self, engine: &EngineState) -> f64 {
-        self.given.kinds.get(engine.at.kind).map_or(1.0, |kind| kind.cores)
-    }
-
     fn has_room(&self, id: usize, at: usize, light: bool, now: f64) -> bool {
         let engine = &self.engines[&at];
-        let cores = self.cores(engine);
-        let peers = match now < engine.room.told + 2.0 {
+        let cores = engine.cores;
+        let peers = match engine.room.told.is_some_and(|told| now < told + 2.0) {
             true => engine.room.peers.or(0.0).max(0.0),
             false => self.peers_per_core() * cores,
         };
@@ -860,17 +783,7 @@
         if !job.pushes.is_empty() {
             self.repeats.push_back(now);
         }
-        let push = Push {
-            engine: at,
-            sent: now,
-            grant,
-            quarter,
-            out: true,
-            may_have_run: true,
-            called_off: false,
-            counts: true,
-        };
-        job.pushes.push(push);
+        job.pushes.push(Push { engine: at, sent: now, grant, quarter, out: true, ..Push::default() });
         self.due.insert((rank(now + patience), Due::Overdue(id, job.pushes.len() - 1)));
         let engine = self.engines.get_mut(&at).expect("a listed engine");
         engine.doubt.drawn = 0.0;
@@ -879,9 +792,7 @@
         engine.ledger.granted += grant;
         engine.ledger.open += 1;
         engine.sent.push_back((now, weight));
-        while engine.sent.front().is_some_and(|&(sent, _)| sent < now - self.given.cold.window) {
-            engine.sent.pop_front();
-        }
+        engine.sent.retain(|&(sent, _)| sent >= now - self.given.cold.window);
         if self.given.grants || self.given.lanes {
             out.terms(id, lane, if self.given.grants { grant } else { 0.0 });
         }
@@ -902,25 +813,20 @@
         if job.pushes.len() as u32 >= self.given.most_pushes || (job.out() && !self.given.copies) {
             return false;
         }
-        for push in job.pushes.iter().filter(|push| push.may_have_run) {
-            let same = |of: fn(&Listing) -> u64| {
-                self.engines.get(&push.engine).is_some_and(|first| of(&first.at) == of(&engine.at))
-            };
-            let allowed = match category.effect {
-                Effect::Pure => true,
-                Effect::Effectful => false,
-                Effect::Receipted { reach, window } => {
-                    let near = match reach {
-                        Reach::All => true,
-                        Reach::Zone => same(|at| at.zone as u64),
-                        Reach::Cell => same(|at| at.cell),
-                    };
-                    near && now < push.sent + window
-                }
-            };
-            if !allowed {
-                return false;
+        let repeat_allowed = |push: &Push| match category.effect {
+            Effect::Pure => true,
+            Effect::Effectful => false,
+            Effect::Receipted { reach, window } => {
+                let near = self.engines.get(&push.engine).is_some_and(|first| match reach {
+                    Reach::All => true,
+                    Reach::Zone => first.at.zone == engine.at.zone,
+                    Reach::Cell => first.at.cell == engine.at.cell,
+                });
+                near && now < push.sent + window
             }
+        };
+        if !job.pushes.iter().filter(|push| !push.never_ran).all(repeat_allowed) {
+            return false;
         }
         // Rule 6: placement.
         let among = |only: &Option<Vec<usize>>, this| only.as_ref().is_none_or(|only| only.contains(&this));
@@ -968,8 +874,7 @@
             return f64::INFINITY;
         }
         let cold = self.given.cold;
-        let cores = self.given.kinds.get(engine.at.kind).map_or(1.0, |kind| kind.cores);
-        let stands = cold.multiple * cores * CAPACITY_SHARE * warmth * cold.window * COLD_CAUTION;
+        let stands = cold.multiple * engine.cores * CAPACITY_SHARE * warmth * cold.window * COLD_CAUTION;
         let sent = engine.sent.iter().filter(|(at, _)| *at > now - cold.window);
         stands / self.given.gateways - sent.map(|(_, work)| work).sum::<f64>()
     }
@@ -981,22 +886,20 @@
     /// No push can follow, whatever comes.
     fn can_never_push(&self, id: usize, now: f64) -> bool {
         let job = &self.jobs[&id];
-        if job.pushes.len() as u32 >= self.given.most_pushes {
-            return true;
-        }
-        job.pushes.iter().filter(|push| push.may_have_run).any(|push| {
-            match self.given.categories[job.taken.category].effect {
-                Effect::Pure => false,
-                Effect::Effectful => true,
-                Effect::Receipted { window, .. } => now >= push.sent + window,
-            }
-        })
+        let effect = self.given.categories[job.taken.category].effect;
+        let spent = |push: &Push| match effect {
+            Effect::Pure => false,
+            Effect::Effectful => true,
+            Effect::Receipted { window, .. } => now >= push.sent + window,
+        };
+        job.pushes.len() as u32 >= self.given.most_pushes
+            || job.pushes.iter().filter(|push| !push.never_ran).any(spent)
     }
 
     /// Rule 1: the one place where a job gets its answer from us.
-    fn end(&mut self, now: f64, id: usize, out: &mut dyn Writer) {
+    fn end(&mut self, id: usize, out: &mut dyn Writer) {
         let Some(job) = self.jobs.get(&id).filter(|job| !job.over) else { return };
-        let unseen = !job.pushes.iter().any(|push| push.may_have_run);
+        let unseen = job.pushes.iter().all(|push| push.never_ran);
         let harmless = match self.given.categories[job.taken.category].effect {
             Effect::Pure | Effect::Receipted { reach: Reach::All, .. } => true,
             _ => unseen,
@@ -1006,10 +909,10 @@
         } else {
             out.terminate(id);
         }
-        self.close_job(now, id);
+        self.close_job(id);
     }
 
-    fn close_job(&mut self, _now: f64, id: usize) {
+    fn close_job(&mut self, id: usize) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.over = true;
         self.held.remove(&(u64::MAX - rank(job.density), id));
@@ -1022,7 +925,7 @@
         if let Some(line) = job.taken.key.and_then(|key| self.keys.get_mut(&key)) {
             line.jobs.retain(|&other| other != id);
         }
-        if !job.pushes.iter().any(|push| push.counts) {
+        if job.pushes.iter().all(|push| push.settled) {
             self.jobs.remove(&id);
         }
     }
@@ -1040,7 +943,8 @@
     }
 
     fn lane(&self, id: usize) -> u8 {
-        if self.jobs[&id].density >= self.density.or(0.0) {
+        let dense = self.jobs[&id].density >= self.density.or(0.0);
+        if dense {
             3
         } else {
             1
@@ -1077,13 +981,11 @@
             self.due.insert((rank(last), Due::TooLate(id)));
             return;
         }
-        self.turned_back_at = now;
-        if !self.turning_back {
-            self.turning_back = true;
+        if self.turning_back.replace(now).is_none() {
             let (held, density) = (self.held.len(), job.density);
             self.log.push(format!("turning back: {held} held, credit for work {density:.2}"));
         }
-        self.end(now, id, out);
+        self.end(id, out);
     }
 
     /// A push is out for far longer than it should be, and its engine has answered nothing since.
