--- /dev/null
+++ b/tests/host/mod.rs
@@ -0,0 +1,169 @@
+//! One tiny fake host: it hands news to a gateway and keeps what the gateway writes.
+
+use cleatgw::logic::Gateway;
+use cleatgw::*;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Wrote {
+    Push { job: usize, engine: usize, grant: f64, lane: u8 },
+    CallOff(usize),
+    TurnBack(usize),
+    Terminate(usize),
+    Watch,
+}
+
+#[derive(Default)]
+pub struct Book {
+    pub wrote: Vec<(f64, Wrote)>,
+    pub log: Vec<String>,
+    now: f64,
+    terms: (u8, f64),
+}
+
+impl Book {
+    fn note(&mut self, what: Wrote) {
+        self.wrote.push((self.now, what));
+    }
+}
+
+impl Writer for Book {
+    fn terms(&mut self, _job: usize, lane: u8, memory_mb: f64) {
+        self.terms = (lane, memory_mb);
+    }
+    fn push(&mut self, job: usize, engine: usize, _time_out: Option<f64>) {
+        let (lane, grant) = self.terms;
+        self.note(Wrote::Push { job, engine, grant, lane });
+    }
+    fn call_off(&mut self, job: usize, _push: u32) {
+        self.note(Wrote::CallOff(job));
+    }
+    fn turn_back(&mut self, job: usize, _come_back_in: Option<f64>) {
+        self.note(Wrote::TurnBack(job));
+    }
+    fn terminate(&mut self, job: usize) {
+        self.note(Wrote::Terminate(job));
+    }
+    fn watch(&mut self, _on: bool) {
+        self.note(Wrote::Watch);
+    }
+    fn fetch(&mut self) {}
+    fn probe(&mut self, _engine: usize) {}
+    fn close(&mut self, _engine: usize) {}
+    fn tell(&mut self, _peer: Option<usize>, _content: &[u8]) {}
+    fn wake(&mut self, _at: f64) {}
+    fn log(&mut self, line: &str) {
+        self.log.push(line.to_string());
+    }
+}
+
+pub fn category(credit: f64, threads: f64, effect: Effect) -> Category {
+    Category {
+        credit,
+        late_share: 0.0,
+        expected_time: 2.0,
+        stretch: 2.0,
+        threads,
+        effect,
+        in_key_order: false,
+        holds_tables: false,
+        only_zones: None,
+        only_kinds: None,
+    }
+}
+
+/// One gateway; light jobs are category 0, heavy ones 1, both pure.
+pub fn plain() -> Deployment {
+    Deployment {
+        gateways: 1.0,
+        categories: vec![category(1.0, 1.0, Effect::Pure), category(5.0, 4.0, Effect::Pure)],
+        kinds: vec![Kind { cores: 8.0, memory_mb: 8000.0 }],
+        largest_share: 0.5,
+        over_portion: 0.1,
+        grants: true,
+        lanes: true,
+        most_pushes: 3,
+        cold: ColdStart { from: 0.3, warm_after: 10.0, multiple: 2.0, window: 2.0 },
+        ..Deployment::default()
+    }
+}
+
+pub struct World {
+    pub gateway: Gateway,
+    pub book: Book,
+    pub now: f64,
+    pub next_job: usize,
+}
+
+impl World {
+    pub fn new(deployment: Deployment, engines: usize) -> World {
+        let gateway = Gateway::new(deployment, 7, 100.0);
+        let mut world = World { gateway, book: Book::default(), now: 100.0, next_job: 0 };
+        let listings: Vec<Listing> = (0..engines).map(listing).collect();
+        world.gateway.engines_listed(100.0, &listings, true);
+        world
+    }
+
+    pub fn job(&mut self, category: usize, change: impl Fn(&mut Taken)) -> usize {
+        let cost = Some(if category == 0 { 0.1 } else { 4.0 });
+        let memory_mb = Some(if category == 0 { 50.0 } else { 1000.0 });
+        let cut_off = self.now + 10.0;
+        let mut taken = Taken { category, cost, memory_mb, cut_off, ..Taken::default() };
+        change(&mut taken);
+        self.gateway.job_taken(self.now, self.next_job, taken);
+        self.next_job += 1;
+        self.next_job - 1
+    }
+
+    pub fn round(&mut self) {
+        self.book.now = self.now;
+        self.gateway.round(self.now, &mut self.book);
+    }
+
+    /// Lets time pass in small rounds.
+    pub fn pass(&mut self, seconds: f64) {
+        let end = self.now + seconds;
+        while self.now < end - 1e-9 {
+            self.now = (self.now + 0.05).min(end);
+            self.round();
+        }
+    }
+
+    pub fn over(&mut self, job: usize, ending: Ending, spent: f64) {
+        let engine = self.engines_of(job).pop().expect("it was pushed");
+        let job_over = ending == Ending::Delivered;
+        let load = Load::default();
+        let end = PushEnd { job, engine, ending, job_over, spent, told: None, load };
+        self.gateway.push_over(self.now, &end);
+    }
+
+    /// Where a job was pushed, in turn.
+    pub fn engines_of(&self, id: usize) -> Vec<usize> {
+        let of = |what: &Wrote| match *what {
+            Wrote::Push { job, engine, .. } if job == id => Some(engine),
+            _ => None,
+        };
+        self.book.wrote.iter().filter_map(|(_, what)| of(what)).collect()
+    }
+
+    pub fn grant_of(&self, id: usize) -> f64 {
+        let of = |what: &Wrote| match *what {
+            Wrote::Push { job, grant, .. } if job == id => Some(grant),
+            _ => None,
+        };
+        self.book.wrote.iter().rev().find_map(|(_, what)| of(what)).expect("it was pushed")
+    }
+
+    /// The answers a job got from us, with their times.
+    pub fn answers(&self, job: usize) -> Vec<(f64, Wrote)> {
+        let ends = [Wrote::TurnBack(job), Wrote::Terminate(job)];
+        self.book.wrote.iter().filter(|(_, what)| ends.contains(what)).cloned().collect()
+    }
+
+    pub fn logged(&self, words: &str) -> bool {
+        self.book.log.iter().any(|line| line.contains(words))
+    }
+}
+
+pub fn listing(engine: usize) -> Listing {
+    Listing { engine, name_hash: 1000 + engine as u64, ..Listing::default() }
+}
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,390 @@
+//! Short stories, one for each rule, for the design's path and for each failure met.
+
+mod host;
+
+use cleatgw::*;
+use host::{category, listing, plain, World, Wrote};
+
+// ---- the rules ----
+
+#[test]
+fn a_job_that_no_engine_can_take_is_answered_once_before_its_cut_off() {
+    let mut world = World::new(plain(), 0);
+    let job = world.job(0, |_| ());
+    world.pass(20.0);
+    let answers = world.answers(job);
+    assert_eq!(answers.len(), 1);
+    assert!(answers[0].0 < 110.0);
+}
+
+#[test]
+fn a_job_whose_push_never_ends_is_answered_at_its_cut_off() {
+    let mut world = World::new(plain(), 2);
+    let job = world.job(0, |_| ());
+    world.pass(20.0);
+    assert_eq!(world.engines_of(job).len(), 1);
+    let answers = world.answers(job);
+    assert_eq!(answers.len(), 1);
+    assert!(answers[0].0 < 110.1);
+}
+
+#[test]
+fn an_effectful_job_that_may_have_run_is_terminated_at_once() {
+    let mut deployment = plain();
+    deployment.categories[0].effect = Effect::Effectful;
+    let mut world = World::new(deployment, 3);
+    let job = world.job(0, |_| ());
+    world.round();
+    world.over(job, Ending::Broken, 0.1);
+    world.pass(0.05);
+    assert_eq!(world.engines_of(job).len(), 1);
+    assert_eq!(world.answers(job).last().map(|(_, what)| what), Some(&Wrote::Terminate(job)));
+}
+
+#[test]
+fn an_effectful_job_that_never_ran_is_pushed_again() {
+    let mut deployment = plain();
+    deployment.categories[0].effect = Effect::Effectful;
+    let mut world = World::new(deployment, 3);
+    let job = world.job(0, |_| ());
+    world.round();
+    world.over(job, Ending::Unreached, 0.1);
+    world.pass(0.05);
+    assert_eq!(world.engines_of(job).len(), 2);
+}
+
+#[test]
+fn a_receipted_job_is_repeated_only_in_its_cell_and_window() {
+    let mut deployment = plain();
+    deployment.categories[0].effect = Effect::Receipted { reach: Reach::Cell, window: 1.0 };
+    deployment.categories[0].expected_time = 8.0;
+    let mut world = World::new(deployment, 0);
+    let cells: Vec<Listing> = (0..6).map(|at| Listing { cell: at as u64 % 2, ..listing(at) }).collect();
+    world.gateway.engines_listed(100.0, &cells, true);
+    let (early, late) = (world.job(0, |_| ()), world.job(0, |_| ()));
+    world.round();
+    world.now += 0.5;
+    world.over(early, Ending::Broken, 0.5);
+    world.pass(0.05);
+    let cells: Vec<usize> = world.engines_of(early).iter().map(|engine| engine % 2).collect();
+    assert!(cells.len() == 2 && cells[0] == cells[1]);
+    world.now += 0.6;
+    world.over(late, Ending::Broken, 1.2);
+    world.pass(0.05);
+    assert_eq!(world.engines_of(late).len(), 1);
+    assert_eq!(world.answers(late)[0].1, Wrote::Terminate(late));
+}
+
+#[test]
+fn a_job_has_no_more_pushes_than_are_allowed() {
+    let mut world = World::new(plain(), 3);
+    let job = world.job(0, |taken| taken.cut_off += 50.0);
+    for _ in 0..3 {
+        world.round();
+        world.over(job, Ending::Full, 0.0);
+    }
+    world.pass(1.0);
+    assert_eq!(world.engines_of(job).len(), 3);
+    assert_eq!(world.answers(job).len(), 1);
+}
+
+#[test]
+fn nothing_new_goes_to_a_draining_or_gone_engine() {
+    let mut world = World::new(plain(), 2);
+    let draining = Listing { stage: Stage::Draining, ..listing(0) };
+    world.gateway.engines_listed(100.0, &[draining, listing(1)], true);
+    for group in 0..20 {
+        let job = world.job(0, |taken| taken.table_group = group);
+        world.pass(0.1);
+        assert_eq!(world.engines_of(job), [1]);
+        world.over(job, Ending::Delivered, 0.1);
+    }
+    // Missing from a whole list is gone.
+    world.gateway.engines_listed(world.now, &[draining], true);
+    let job = world.job(0, |_| ());
+    world.pass(1.0);
+    assert_eq!(world.engines_of(job), []);
+}
+
+#[test]
+fn a_cold_engine_gets_no_more_than_our_share_of_what_it_stands() {
+    let mut deployment = plain();
+    deployment.gateways = 2.0;
+    let cold = deployment.cold;
+    let mut world = World::new(deployment, 0);
+    world.gateway.engines_listed(100.0, &[Listing { since: Some(99.9), ..listing(0) }], true);
+    for step in 0..100 {
+        let job = world.job(0, |_| ());
+        world.pass(0.02);
+        if !world.engines_of(job).is_empty() {
+            world.over(job, Ending::Delivered, 0.1);
+        }
+        if step == 0 {
+            assert!(!world.engines_of(job).is_empty());
+        }
+    }
+    let mut sent: Vec<f64> = world.book.wrote.iter().map(|(at, _)| *at).collect();
+    sent.dedup();
+    let warmth = cold.from + 0.7 * 0.2;
+    let stands = cold.multiple * 8.0 * 0.85 * warmth * cold.window / 2.0;
+    let pushes = (0..world.next_job).map(|job| world.engines_of(job).len()).sum::<usize>();
+    assert!(pushes as f64 * 0.1 <= stands);
+    // Many heavy jobs at once: most of them wait.
+    let heavy: Vec<usize> = (0..20).map(|_| world.job(1, |_| ())).collect();
+    world.pass(0.05);
+    let pushed = heavy.iter().filter(|&&job| !world.engines_of(job).is_empty()).count();
+    assert!(pushed as f64 * 4.0 <= stands);
+}
+
+#[test]
+fn jobs_of_one_key_run_in_turn_and_rest_after_a_time_out() {
+    let mut deployment = plain();
+    deployment.categories[0].in_key_order = true;
+    deployment.key_rest = 1.0;
+    let mut world = World::new(deployment, 3);
+    let first = world.job(0, |taken| taken.key = Some(5));
+    let second = world.job(0, |taken| taken.key = Some(5));
+    let other = world.job(0, |taken| taken.key = Some(6));
+    world.pass(0.1);
+    assert_eq!([first, second, other].map(|job| world.engines_of(job).len()), [1, 0, 1]);
+    world.over(first, Ending::TimedOut, 0.1);
+    world.gateway.job_withdrawn(first);
+    world.pass(0.9);
+    assert_eq!(world.engines_of(second).len(), 0);
+    world.pass(0.2);
+    assert_eq!(world.engines_of(second).len(), 1);
+}
+
+#[test]
+fn a_bound_job_goes_nowhere_else_even_when_its_places_are_down() {
+    let mut deployment = plain();
+    deployment.categories[0].only_zones = Some(vec![1]);
+    deployment.categories[1].only_kinds = Some(vec![1]);
+    let mut world = World::new(deployment, 3);
+    let jobs = [world.job(0, |_| ()), world.job(1, |_| ())];
+    world.pass(15.0);
+    for job in jobs {
+        assert_eq!((world.engines_of(job).len(), world.answers(job).len()), (0, 1));
+    }
+}
+
+#[test]
+fn further_pushes_stay_within_the_budget() {
+    let mut deployment = plain();
+    deployment.budget = Some(PushBudget { spare: 2.0, share: 0.1, window: 10.0 });
+    let mut world = World::new(deployment, 6);
+    let jobs: Vec<usize> = (0..10).map(|_| world.job(0, |_| ())).collect();
+    world.round();
+    for &job in &jobs {
+        world.over(job, Ending::Erred, 0.0);
+    }
+    world.pass(1.0);
+    let further: usize = jobs.iter().map(|&job| world.engines_of(job).len() - 1).sum();
+    assert!(further <= 3);
+}
+
+// ---- the design's path ----
+
+#[test]
+fn every_job_gets_its_best_grant_until_memory_is_waited_for() {
+    let mut world = World::new(plain(), 4);
+    let calm = world.job(1, |_| ());
+    world.round();
+    assert_eq!(world.grant_of(calm), 1000.0);
+    world.over(calm, Ending::Delivered, 1.0);
+    // Two periods of work with waits for memory: θ jumps, and half the memory asked for is no longer given.
+    let mut quarters = 0;
+    for step in 0..60 {
+        let job = world.job(1, |taken| taken.memory_mb = Some(if step % 2 == 0 { 1000.0 } else { 500.0 }));
+        world.pass(0.1);
+        if world.engines_of(job).is_empty() {
+            continue;
+        }
+        world.gateway.push_noted(world.now, job, Note::WaitsForMemory);
+        let quarter = world.grant_of(job) <= 250.0;
+        quarters += usize::from(quarter);
+        world.over(job, Ending::Delivered, if quarter { 2.0 } else { 1.0 });
+    }
+    assert!(world.logged("θ"));
+    assert!(quarters > 5);
+    // The waits end: θ falls, and in time every job has its best grant again.
+    for _ in 0..300 {
+        let job = world.job(1, |_| ());
+        world.pass(0.1);
+        world.over(job, Ending::Delivered, 1.0);
+    }
+    assert_eq!(world.grant_of(world.next_job - 1), 1000.0);
+}
+
+#[test]
+fn a_grant_is_at_most_half_an_engines_memory() {
+    let mut deployment = plain();
+    deployment.largest_share = 0.9;
+    let mut world = World::new(deployment, 1);
+    let job = world.job(1, |taken| taken.memory_mb = Some(7000.0));
+    world.round();
+    assert_eq!(world.grant_of(job), 4000.0);
+}
+
+#[test]
+fn a_ledger_binds_only_under_pressure() {
+    // A second gateway: the ledger starts at half the memory, 4000 MB.
+    let mut deployment = plain();
+    deployment.gateways = 2.0;
+    deployment.kinds[0].cores = 64.0;
+    let mut world = World::new(deployment, 1);
+    let large = |taken: &mut Taken| taken.memory_mb = Some(3000.0);
+    let calm = [world.job(1, large), world.job(1, large)];
+    world.round();
+    assert_eq!(calm.map(|job| world.grant_of(job)), [3000.0, 3000.0]);
+    world.over(calm[1], Ending::Delivered, 1.0);
+    world.gateway.push_noted(world.now, calm[0], Note::WaitsForMemory);
+    let pressed = world.job(1, large);
+    world.round();
+    assert_ne!(world.engines_of(pressed).len(), 1, "3000 and 750 MB are past what is left of 3200 MB");
+    world.over(calm[0], Ending::Delivered, 1.0);
+    world.round();
+    assert_eq!(world.grant_of(pressed), 3000.0, "an empty ledger admits a first job");
+}
+
+#[test]
+fn jobs_of_one_group_go_to_a_few_engines_alike_at_every_gateway() {
+    let homes = |seed_engines: usize| {
+        let mut world = World::new(plain(), seed_engines);
+        let mut homes = Vec::new();
+        for _ in 0..30 {
+            let job = world.job(0, |taken| taken.table_group = 3);
+            world.round();
+            homes.extend(world.engines_of(job));
+            world.over(job, Ending::Delivered, 0.1);
+        }
+        homes.sort_unstable();
+        homes.dedup();
+        homes
+    };
+    assert!(homes(8).len() <= 2);
+    assert_eq!(homes(8), homes(8));
+}
+
+// ---- failures met ----
+
+#[test]
+fn readers_keep_away_from_the_engine_where_a_holder_of_their_tables_runs() {
+    let mut deployment = plain();
+    deployment.categories.push(Category { holds_tables: true, ..category(9.0, 2.0, Effect::Pure) });
+    let mut world = World::new(deployment, 6);
+    let holder = world.job(2, |_| ());
+    world.round();
+    for _ in 0..8 {
+        let reader = world.job(0, |_| ());
+        world.round();
+        assert_ne!(world.engines_of(reader), world.engines_of(holder));
+    }
+}
+
+#[test]
+fn an_engine_that_fails_at_once_does_not_draw_in_job_after_job() {
+    let mut world = World::new(plain(), 4);
+    let mut failed = 0;
+    for _ in 0..400 {
+        let job = world.job(0, |_| ());
+        world.pass(0.02);
+        let Some(&engine) = world.engines_of(job).last() else { continue };
+        if engine == world.engines_of(0)[0] {
+            failed += 1;
+            world.over(job, Ending::Broken, 0.001);
+        } else {
+            world.over(job, Ending::Delivered, 0.1);
+        }
+    }
+    assert!(world.logged("doubted"));
+    assert!((2..40).contains(&failed), "{failed} of 400");
+}
+
+#[test]
+fn an_engine_that_falls_silent_is_doubted_and_its_pushes_called_off_where_that_is_allowed() {
+    let mut deployment = plain();
+    deployment.call_off = true;
+    let mut world = World::new(deployment, 4);
+    let jobs: Vec<usize> = (0..6).map(|_| world.job(0, |_| ())).collect();
+    world.pass(1.5);
+    let called_off = world.book.wrote.iter().any(|(_, what)| matches!(what, Wrote::CallOff(_)));
+    assert!(world.logged("doubted") && called_off);
+    let silent = world.engines_of(jobs[0])[0];
+    let later = world.job(0, |_| ());
+    world.round();
+    assert_ne!(world.engines_of(later).last(), Some(&silent));
+}
+
+#[test]
+fn work_timed_out_where_nothing_stops_it_still_counts() {
+    let mut world = World::new(plain(), 1);
+    let jobs: Vec<usize> = (0..4).map(|_| world.job(1, |taken| taken.cut_off += 50.0)).collect();
+    world.round();
+    let pushed: Vec<usize> = jobs.iter().copied().filter(|&job| !world.engines_of(job).is_empty()).collect();
+    assert!(pushed.len() < jobs.len(), "the engine has room for some");
+    world.now += 1.0;
+    for &job in &pushed {
+        world.over(job, Ending::TimedOut, 1.0);
+        world.gateway.job_withdrawn(job);
+    }
+    let before = world.book.wrote.len();
+    world.round();
+    assert_eq!(world.book.wrote.len(), before, "the timed-out work is still there");
+    world.pass(2.1);
+    assert!(world.book.wrote.len() > before);
+}
+
+#[test]
+fn a_spill_where_grants_are_honoured_is_no_pressure() {
+    for trims in [false, true] {
+        let mut deployment = plain();
+        deployment.kinds[0].cores = 64.0;
+        deployment.trims = trims;
+        let mut world = World::new(deployment, 1);
+        let jobs: Vec<usize> =
+            (0..3).map(|_| world.job(1, |taken| taken.memory_mb = Some(3000.0))).inspect(|_| ()).collect();
+        world.round();
+        world.gateway.push_noted(world.now, jobs[0], Note::Spills);
+        let next = world.job(1, |taken| taken.memory_mb = Some(3000.0));
+        world.round();
+        assert_eq!(world.engines_of(next).is_empty(), trims);
+    }
+}
+
+#[test]
+fn what_would_come_too_late_is_turned_back_before_its_time_is_up() {
+    let mut world = World::new(plain(), 1);
+    let jobs: Vec<usize> = (0..12).map(|_| world.job(1, |_| ())).collect();
+    world.pass(6.0);
+    let turned_back = jobs.iter().filter(|&&job| world.engines_of(job).is_empty());
+    for &job in turned_back {
+        assert!(world.answers(job)[0].0 < 104.0);
+    }
+    assert!(world.logged("turning back"));
+}
+
+#[test]
+fn a_job_held_again_past_its_time_is_turned_back_not_sat_on() {
+    let mut world = World::new(plain(), 1);
+    let job = world.job(0, |_| ());
+    world.round();
+    world.now += 3.0;
+    world.over(job, Ending::Unreached, 0.2);
+    world.pass(0.3);
+    let again = world.engines_of(job).len() > 1;
+    assert!(again || world.answers(job).len() == 1);
+}
+
+#[test]
+fn a_lost_list_is_asked_for_again() {
+    let mut deployment = plain();
+    deployment.ask_within = Some(10.0);
+    let mut world = World::new(deployment, 1);
+    world.round();
+    world.gateway.list_failed(world.now);
+    world.pass(2.0);
+    let asked = world.book.wrote.iter().filter(|(_, what)| *what == Wrote::Watch).count();
+    assert_eq!(asked, 2);
+    assert!(world.logged("list out of reach"));
+}
