--- a/src/logic.rs
+++ b/src/logic.rs
@@ -708,7 +708,7 @@
         if self.given.categories[self.jobs[&id].taken.category].holds_tables {
             order.reverse();
         }
-        let light = self.lane(id) > 1;
+        let light = self.light(id);
         let best = self.engines.values().filter(|e| e.at.stage == Stage::Ready);
         let best = best.map(|engine| engine.doubt.mean()).fold(0.0, f64::max);
         let mut open = Vec::new();
@@ -942,9 +942,14 @@
         credit * (within + (1.0 - within) * self.given.over_portion)
     }
 
+    /// Much credit for its work, as jobs go.
+    fn light(&self, id: usize) -> bool {
+        self.jobs[&id].density >= self.density.or(0.0)
+    }
+
     fn lane(&self, id: usize) -> u8 {
-        let dense = self.jobs[&id].density >= self.density.or(0.0);
-        if dense {
+        // Whatever stands still behind a holder of tables waits for as long as it runs: it goes fast.
+        if self.light(id) || self.given.categories[self.jobs[&id].taken.category].holds_tables {
             3
         } else {
             1
