No job is pushed behind a holder of its tables that this gateway has out

Should also catch hot table groups written to. May hurt where one group is the whole load on one engine.

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -371,13 +371,12 @@
                 Ok(())
             }
             "HEALTH" => {
-                let engine = self.ids.engine(fields.need("engine", "an address")?);
-                let ending = read_ending(fields)?;
+                // Checked, and put to no use yet: the decisions send no probes.
+                fields.need("engine", "an address")?;
+                read_ending(fields)?;
                 fields.whole("spent-us")?;
                 let row = fields.text();
-                let load = read_load(&self.names.columns, row, fields)?;
-                self.gateway.probe_over(now, engine, ending, load);
-                Ok(())
+                read_load(&self.names.columns, row, fields).map(drop)
             }
             "PEER" => {
                 // Checked, and put to no use yet: the decisions rely on their own traffic alone.
--- a/crates/adapter/src/start.rs
+++ b/crates/adapter/src/start.rs
@@ -88,6 +88,7 @@
     };
     let threads = pairs.numbers("family-info.parallelism")?;
     let holds = pairs.list("family-info.is-load");
+    let waits = pairs.list("family-info.yields-to-loads");
     let mut categories = Vec::new();
     for at in 0..pairs.count("categories")? {
         let path = |key: &str| format!("categories.{at}.{key}");
@@ -117,7 +118,8 @@
             stretch: pairs.number(&path("aim-stretch"), 0.0)?,
             threads: threads.get(at).copied().unwrap_or(1.0).max(1.0),
             effect,
-            holds_tables: holds.get(at).is_some_and(|&text| text == "true"),
+            holds_tables: holds.get(at) == Some(&"true"),
+            waits_for_holders: waits.get(at) == Some(&"true"),
             in_key_order: pairs.flag(&path("serial-by-key")),
         });
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,8 @@
     pub in_key_order: bool,
     /// It holds its table group on its engine until it ends, and those that wait stand still there.
     pub holds_tables: bool,
+    /// It stands still while its tables are held on its engine.
+    pub waits_for_holders: bool,
     pub only_zones: Option<Vec<usize>>,
     pub only_kinds: Option<Vec<usize>>,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -284,6 +284,8 @@
     last_answer: f64,
     /// Work pushed of late, by usual weight, for the cold ramp.
     sent: VecDeque<(f64, f64)>,
+    /// Table groups that jobs of ours hold there.
+    holding: Vec<u64>,
     cold: bool,
 }
 
@@ -405,6 +407,7 @@
                     room: Room { limit: Room::START, ..Room::default() },
                     threads: state.threads,
                     pushes: state.pushes,
+                    holding: std::mem::take(&mut state.holding),
                     sent: std::mem::take(&mut state.sent),
                     last_answer: now,
                     ..EngineState::default()
@@ -450,10 +453,6 @@
         self.jobs.insert(id, job);
     }
 
-    pub fn job_withdrawn(&mut self, id: usize) {
-        self.close_job(id);
-    }
-
     pub fn push_noted(&mut self, now: f64, id: usize, note: Note) {
         let Some(job) = self.jobs.get(&id) else { return };
         let Some(push) = job.pushes.iter().rfind(|push| push.out) else { return };
@@ -470,14 +469,6 @@
         }
     }
 
-    pub fn probe_over(&mut self, now: f64, engine: usize, ending: Ending, load: Load) {
-        let Some(state) = self.engines.get_mut(&engine) else { return };
-        match ending {
-            Ending::Delivered => Self::read_load(state, load, now),
-            _ => state.doubt.add(0.0, 1.0, now),
-        }
-    }
-
     fn read_load(engine: &mut EngineState, load: Load, now: f64) {
         if let Some(jobs) = load.jobs {
             // Its jobs are taken to have as many threads each as ours there.
@@ -560,7 +551,7 @@
             self.settle(end.job, index);
         }
         if end.job_over {
-            self.close_job(end.job);
+            self.job_withdrawn(end.job);
         } else if let Some(job) = self.jobs.get(&end.job).filter(|job| !job.over && !job.out()) {
             self.held.insert((u64::MAX - rank(job.density), end.job));
             self.due.insert((rank(self.last_start(job)), Due::TooLate(end.job)));
@@ -573,9 +564,12 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let push = &mut job.pushes[index];
         push.settled = true;
+        let category = &self.given.categories[job.taken.category];
         if let Some(engine) = self.engines.get_mut(&push.engine) {
-            engine.threads -= self.given.categories[job.taken.category].threads;
+            engine.threads -= category.threads;
             engine.pushes -= 1;
+            let held = engine.holding.iter().position(|&group| group == job.taken.table_group);
+            held.filter(|_| category.holds_tables).map(|at| engine.holding.swap_remove(at));
             engine.ledger.granted = (engine.ledger.granted - push.grant).max(0.0);
             engine.ledger.open -= 1;
         }
@@ -638,7 +632,7 @@
                 let Doubt { good, bad, .. } = engine.doubt;
                 self.log.push(format!("engine {id} {word}: {good:.1} good, {bad:.1} bad"));
             }
-            let cold = Self::warmth(&self.given, engine, now) < 1.0;
+            let cold = Self::warmth(&self.given.cold, engine, now) < 1.0;
             if cold != engine.cold {
                 engine.cold = cold;
                 let word = if cold { "cold" } else { "warm" };
@@ -661,7 +655,7 @@
         for entry in waiting {
             if self.can_never_push(entry.1, now) {
                 self.end(entry.1, out);
-            } else if failures < 12 {
+            } else if failures < 12 && self.in_turn(entry.1, now) {
                 match self.place(now, entry.1, out) {
                     true => drop(self.held.remove(&entry)),
                     false => failures += 1,
@@ -689,11 +683,8 @@
         }
         let roc = (slow - fast) / extra;
         self.theta.saw(roc, full);
-        if roc > self.theta.theta {
-            (full, quarter, false)
-        } else {
-            (quarter, quarter, true)
-        }
+        let best = roc > self.theta.theta;
+        (if best { full } else { quarter }, quarter, !best)
     }
 
     /// Finds the job's engine and pushes it there; false: it is held.
@@ -705,9 +696,11 @@
         order.sort_unstable();
         // A job that holds its tables starts from the far end of the order, away from the group's readers.
         // It guards against stalls behind our peers' holders as well, as the order is the same everywhere.
-        if self.given.categories[self.jobs[&id].taken.category].holds_tables {
+        let category = &self.given.categories[self.jobs[&id].taken.category];
+        if category.holds_tables {
             order.reverse();
         }
+        let stalls = category.holds_tables || category.waits_for_holders;
         let light = self.light(id);
         let best = self.engines.values().filter(|e| e.at.stage == Stage::Ready);
         let best = best.map(|engine| engine.doubt.mean()).fold(0.0, f64::max);
@@ -716,6 +709,10 @@
             if !self.may_push(id, at, now) || !self.has_room(id, at, light, now) {
                 continue;
             }
+            // Behind a holder of ours it would only stand still, and keep its memory.
+            if stalls && self.engines[&at].holding.contains(&group) {
+                continue;
+            }
             // One light job at a time, and one a draw, tries out an engine in doubt: whatever ails it (dead,
             // silent, failing, slow), fast failures must not draw in job after job.
             let engine = &self.engines[&at];
@@ -772,7 +769,7 @@
     fn push(&mut self, now: f64, id: usize, at: usize, grant: f64, quarter: bool, out: &mut dyn Writer) {
         let lane = self.lane(id);
         let time_out = self.time_out(now, id);
-        let weight = self.usual_work(self.jobs[&id].taken.category);
+        let weight = self.learned[self.jobs[&id].taken.category].work.or(1.0);
         let job = self.jobs.get_mut(&id).expect("a held job");
         let category = &self.given.categories[job.taken.category];
         if let Some(since) = job.ledger_held_at.take() {
@@ -789,6 +786,9 @@
         engine.doubt.drawn = 0.0;
         engine.threads += category.threads;
         engine.pushes += 1;
+        if category.holds_tables {
+            engine.holding.push(job.taken.table_group);
+        }
         engine.ledger.granted += grant;
         engine.ledger.open += 1;
         engine.sent.push_back((now, weight));
@@ -834,11 +834,8 @@
             return false;
         }
         // Rule 5: key order, and the rest after a push that may still run.
-        if let (true, Some(key)) = (category.in_key_order, job.taken.key) {
-            let line = &self.keys[&key];
-            if line.jobs.front() != Some(&id) || (job.pushes.is_empty() && now < line.rests_until) {
-                return false;
-            }
+        if !self.in_turn(id, now) {
+            return false;
         }
         // Rule 7: the budget of further pushes.
         if !job.pushes.is_empty() {
@@ -850,7 +847,16 @@
             }
         }
         // Rule 4: a cold engine's budget.
-        self.cold_room(engine, now) >= self.usual_work(job.taken.category)
+        self.cold_room(engine, now) >= self.learned[job.taken.category].work.or(1.0)
+    }
+
+    fn in_turn(&self, id: usize, now: f64) -> bool {
+        let job = &self.jobs[&id];
+        let line = job.taken.key.and_then(|key| self.keys.get(&key));
+        let ordered = self.given.categories[job.taken.category].in_key_order;
+        line.filter(|_| ordered).is_none_or(|line| {
+            line.jobs.front() == Some(&id) && (!job.pushes.is_empty() || now >= line.rests_until)
+        })
     }
 
     /// Where no budget is stated, we keep one, so that a bad spell does not feed on its own repeats.
@@ -858,18 +864,15 @@
         self.given.budget.unwrap_or(PushBudget { spare: 10.0, share: 0.2, window: 10.0 })
     }
 
-    fn warmth(given: &Deployment, engine: &EngineState, now: f64) -> f64 {
-        let cold = given.cold;
-        let age = engine.at.since.map_or(f64::INFINITY, |since| now - since);
-        if age >= cold.warm_after {
-            return 1.0;
-        }
-        cold.from + (1.0 - cold.from) * (age / cold.warm_after).max(0.0)
+    /// The part of its capacity that an engine has by now, if it warms evenly.
+    fn warmth(cold: &ColdStart, engine: &EngineState, now: f64) -> f64 {
+        let age = engine.at.since.map_or(f64::INFINITY, |since| (now - since).max(0.0));
+        (cold.from + (1.0 - cold.from) * age / cold.warm_after.max(1e-9)).min(1.0)
     }
 
     /// The work that we may still send a cold engine now, if every peer sends its share too.
     fn cold_room(&self, engine: &EngineState, now: f64) -> f64 {
-        let warmth = Self::warmth(&self.given, engine, now);
+        let warmth = Self::warmth(&self.given.cold, engine, now);
         if warmth >= 1.0 {
             return f64::INFINITY;
         }
@@ -879,10 +882,6 @@
         stands / self.given.gateways - sent.map(|(_, work)| work).sum::<f64>()
     }
 
-    fn usual_work(&self, category: usize) -> f64 {
-        self.learned[category].work.or(1.0)
-    }
-
     /// No push can follow, whatever comes.
     fn can_never_push(&self, id: usize, now: f64) -> bool {
         let job = &self.jobs[&id];
@@ -909,10 +908,11 @@
         } else {
             out.terminate(id);
         }
-        self.close_job(id);
+        self.job_withdrawn(id);
     }
 
-    fn close_job(&mut self, id: usize) {
+    /// The job is over, by our answer or without it.
+    pub fn job_withdrawn(&mut self, id: usize) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.over = true;
         self.held.remove(&(u64::MAX - rank(job.density), id));
@@ -949,11 +949,8 @@
 
     fn lane(&self, id: usize) -> u8 {
         // Whatever stands still behind a holder of tables waits for as long as it runs: it goes fast.
-        if self.light(id) || self.given.categories[self.jobs[&id].taken.category].holds_tables {
-            3
-        } else {
-            1
-        }
+        let holds = self.given.categories[self.jobs[&id].taken.category].holds_tables;
+        1 + 2 * u8::from(holds || self.light(id))
     }
 
     fn run_time(&self, job: &Job) -> f64 {
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -66,6 +66,7 @@
         effect,
         in_key_order: false,
         holds_tables: false,
+        waits_for_holders: true,
         only_zones: None,
         only_kinds: None,
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -155,6 +155,20 @@
     assert_eq!(world.engines_of(second).len(), 1);
 }
 
+#[test]
+fn a_long_line_for_one_key_holds_up_nobody_else() {
+    let mut deployment = plain();
+    deployment.categories[0].in_key_order = true;
+    deployment.categories[0].credit = 50.0;
+    let mut world = World::new(deployment, 3);
+    for _ in 0..30 {
+        world.job(0, |taken| taken.key = Some(5));
+    }
+    let other = world.job(1, |_| ());
+    world.round();
+    assert_eq!(world.engines_of(other).len(), 1);
+}
+
 #[test]
 fn a_bound_job_goes_nowhere_else_even_when_its_places_are_down() {
     let mut deployment = plain();
@@ -268,6 +282,22 @@
 
 // ---- failures met ----
 
+#[test]
+fn no_job_is_pushed_behind_a_holder_of_its_tables() {
+    let mut deployment = plain();
+    deployment.categories.push(Category { holds_tables: true, ..category(9.0, 2.0, Effect::Pure) });
+    let mut world = World::new(deployment, 1);
+    let (holder, second) = (world.job(2, |_| ()), world.job(2, |_| ()));
+    let elsewhere = world.job(0, |taken| taken.table_group = 8);
+    world.round();
+    let reader = world.job(0, |_| ());
+    world.round();
+    assert_eq!([holder, second, reader, elsewhere].map(|job| world.engines_of(job).len()), [1, 0, 0, 1]);
+    world.over(holder, Ending::Delivered, 1.0);
+    world.round();
+    assert_eq!([second, reader].map(|job| world.engines_of(job).len()), [1, 1]);
+}
+
 #[test]
 fn readers_keep_away_from_the_engine_where_a_holder_of_their_tables_runs() {
     let mut deployment = plain();
