--- a/src/logic.rs
+++ b/src/logic.rs
@@ -224,6 +224,7 @@
 impl Doubt {
     const HALF_LIFE: f64 = 4.0;
     const TRUST: f64 = 0.75;
+    const MEMORY: f64 = 10.0;
 
     fn fade(&mut self, now: f64) {
         let keep = 0.5_f64.powf((now - self.at) / Self::HALF_LIFE);
@@ -232,8 +233,9 @@
 
     fn add(&mut self, good: f64, bad: f64, now: f64) {
         self.fade(now);
-        self.good += good;
-        self.bad += bad;
+        // One blow to many pushes at once is no more than a few failures.
+        let keep = (Self::MEMORY / (self.good + self.bad + 1e-9)).min(1.0);
+        (self.good, self.bad) = (self.good * keep + good, self.bad * keep + bad);
     }
 
     fn mean(&self) -> f64 {
