--- a/src/logic.rs
+++ b/src/logic.rs
@@ -224,7 +224,6 @@
 impl Doubt {
     const HALF_LIFE: f64 = 4.0;
     const TRUST: f64 = 0.75;
-    const MEMORY: f64 = 10.0;
 
     fn fade(&mut self, now: f64) {
         let keep = 0.5_f64.powf((now - self.at) / Self::HALF_LIFE);
@@ -233,9 +232,8 @@
 
     fn add(&mut self, good: f64, bad: f64, now: f64) {
         self.fade(now);
-        // One blow to many pushes at once is no more than a few failures.
-        let keep = (Self::MEMORY / (self.good + self.bad + 1e-9)).min(1.0);
-        (self.good, self.bad) = (self.good * keep + good, self.bad * keep + bad);
+        self.good += good;
+        self.bad += bad;
     }
 
     fn mean(&self) -> f64 {
@@ -354,6 +352,7 @@
     taken_at: VecDeque<f64>,
     repeats: VecDeque<f64>,
     density: Mean,
+    threads_each: Mean,
     tenants: Vec<Mean>,
     next_tick: f64,
     armed: Option<f64>,
@@ -471,10 +470,9 @@
         }
     }
 
-    fn read_load(engine: &mut EngineState, load: Load, now: f64) {
+    fn read_load(engine: &mut EngineState, load: Load, each: f64, now: f64) {
         if let Some(jobs) = load.jobs {
-            // Its jobs are taken to have as many threads each as ours there.
-            let each = if engine.pushes > 0 { engine.threads / f64::from(engine.pushes) } else { 1.0 };
+            // Its jobs are taken to have as many threads each as ours everywhere.
             engine.room.peers.add((jobs - f64::from(engine.pushes)) * each, 1.0, 0.8);
             engine.room.told = Some(now);
         }
@@ -499,7 +497,7 @@
         let (work, memory) = end.told.unwrap_or((job.work, job.memory));
         let learned = &mut self.learned[job.taken.category];
         if let Some(engine) = self.engines.get_mut(&end.engine) {
-            Self::read_load(engine, end.load, now);
+            Self::read_load(engine, end.load, self.threads_each.or(1.0), now);
             match end.ending {
                 Ending::Delivered => {
                     let pace = end.spent * threads / work.max(1e-3);
@@ -621,6 +619,10 @@
             ));
         }
         let assumed = self.peers_per_core();
+        for engine in self.engines.values().filter(|engine| engine.pushes > 0) {
+            let pushes = f64::from(engine.pushes);
+            self.threads_each.add(engine.threads / pushes, pushes, 0.99);
+        }
         for (id, engine) in &mut self.engines {
             engine.ledger.tick(now);
             engine.doubt.fade(now);
