--- a/src/logic.rs
+++ b/src/logic.rs
@@ -259,7 +259,7 @@
 }
 
 impl Room {
-    const START: f64 = 1.7;
+    const START: f64 = 1.0;
 
     fn tick(&mut self, pace: f64, used: f64) {
         if pace > 3.0 {
