--- a/src/logic.rs
+++ b/src/logic.rs
@@ -763,7 +763,7 @@
         };
         let threads = self.given.categories[self.jobs[&id].taken.category].threads;
         // Light jobs may pass the heavy ones that fill an engine.
-        let limit = if light { engine.room.limit * 2.0 } else { engine.room.limit };
+        let limit = if light { engine.room.limit * 1.5 } else { engine.room.limit };
         // Before reports tell, or when they lag, no gateway takes more than twice its share.
         let ours = engine.threads + threads <= 2.0 * limit * cores / self.given.gateways;
         let all = engine.threads + peers + threads <= limit * cores;
