--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -436,7 +436,7 @@
     fn call(&mut self, now: f64, fields: &mut Fields) -> Result<(), Complaint> {
         let request = fields.whole("req")?;
         let cost = fields.maybe::<u64>("plan-cost-us", "a whole number")?;
-        let tenant = fields.text();
+        fields.text(); // the tenant, which no decision asks for
         let key = fields.text();
         let key = match key {
             None => None,
@@ -459,7 +459,6 @@
         self.ids.job_of.insert(request, job);
         let taken = Taken {
             category,
-            tenant: tenant.and_then(|name| self.names.tenants.iter().position(|known| known == name)),
             key,
             table_group: table_group.to_bits(),
             cost: cost.filter(|&cost| bits & 1 == 1 && cost > 0).map(seconds),
--- a/crates/adapter/src/start.rs
+++ b/crates/adapter/src/start.rs
@@ -8,7 +8,6 @@
 #[derive(Default)]
 pub struct Names {
     pub categories: Vec<String>,
-    pub tenants: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
     pub columns: Vec<String>,
@@ -123,11 +122,6 @@
             in_key_order: pairs.flag(&path("serial-by-key")),
         });
     }
-    let mut tenants = Vec::new();
-    for at in 0..pairs.count("tenants")? {
-        names.tenants.push(pairs.text(&format!("tenants.{at}.name")).unwrap_or_default().to_string());
-        tenants.push(pairs.number(&format!("tenants.{at}.portion"), 0.0)?);
-    }
     let cores = pairs.numbers("family-info.cores-by-kind")?;
     let memory = pairs.numbers("family-info.ram-of-kind-mb")?;
     let kinds = (0..names.kinds.len())
@@ -148,8 +142,6 @@
     let deployment = Deployment {
         gateways: pairs.number("balancers", 1.0)?.max(1.0),
         categories,
-        tenants,
-        over_portion: pairs.number("over-share-worth", 1.0)?,
         kinds,
         largest_share: pairs.number("family-info.largest-share", 1.0)?,
         grants: pairs.flag("family-info.grants-count"),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! This file holds what passes between the decisions ([`logic`]) and whatever carries them: facts that
 //! a host hands in, and the [`Writer`] that it lends for the answers. Nothing here decides. Times are
-//! seconds with fractions on the host's clock; jobs, engines, categories, tenants, zones and kinds are
+//! seconds with fractions on the host's clock; jobs, engines, categories, zones and kinds are
 //! small indices that the host gives out and keeps.
 
 pub mod logic;
@@ -72,10 +72,6 @@
 pub struct Deployment {
     pub gateways: f64,
     pub categories: Vec<Category>,
-    /// Each tenant's portion of the service.
-    pub tenants: Vec<f64>,
-    /// What a job past its tenant's portion earns of its credit.
-    pub over_portion: f64,
     pub kinds: Vec<Kind>,
     /// The most of an engine's memory that one job gets.
     pub largest_share: f64,
@@ -122,7 +118,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Taken {
     pub category: usize,
-    pub tenant: Option<usize>,
     pub key: Option<u64>,
     pub table_group: u64,
     pub cost: Option<f64>,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -12,8 +12,7 @@
 //! 2. engine doubt: a draw from the posterior of an engine's success ([`Doubt`]);
 //! 3. time-outs and further pushes: `time_out`, `overdue`, and a budget of repeats (`Repeats`);
 //! 4. holding and turning back: threads per core are limited ([`Room`]), the best credit for work goes first;
-//! 5. priority lanes by credit for work (`lane`);
-//! 6. tenant fair share: credit beyond a tenant's portion counts for less (`fair_credit`).
+//! 5. priority lanes by credit for work (`lane`).
 
 use crate::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -42,11 +41,7 @@
     }
 
     fn or(&self, absent: f64) -> f64 {
-        if self.weight > 0.0 {
-            self.sum / self.weight
-        } else {
-            absent
-        }
+        Some(self.sum / self.weight).filter(|mean| mean.is_finite()).unwrap_or(absent)
     }
 }
 
@@ -160,10 +155,6 @@
         !self.binds(now) || self.open == 0 || self.granted + grant <= self.limit
     }
 
-    fn room(&self) -> f64 {
-        self.limit - self.granted
-    }
-
     fn press(&mut self, now: f64) {
         self.pressed_until = Some(now + Self::PRESSURE_LASTS);
     }
@@ -184,13 +175,45 @@
     }
 }
 
+/// What is told against what was estimated, as a line through their logarithms: rough estimates scatter, and
+/// the far ones lie further off than the truth. Taken as they are, large ones were turned back for nothing.
+#[derive(Clone, Copy, Default)]
+struct Fit {
+    count: f64,
+    x: f64,
+    y: f64,
+    xx: f64,
+    xy: f64,
+    told: Mean,
+}
+
+impl Fit {
+    fn add(&mut self, estimate: f64, told: f64) {
+        self.told.add(told / self.guess(estimate), 1.0, 0.99);
+        let (x, y) = (estimate.ln(), told.max(1e-6).ln());
+        let sums = [&mut self.count, &mut self.x, &mut self.y, &mut self.xx, &mut self.xy];
+        for (sum, value) in sums.into_iter().zip([1.0, x, y, x * x, x * y]) {
+            *sum = *sum * 0.99 + value;
+        }
+    }
+
+    fn guess(&self, estimate: f64) -> f64 {
+        let count = self.count.max(1e-9);
+        let (x, y) = (self.x / count, self.y / count);
+        // A few jobs' worth of belief that estimates are good.
+        let doubt = 2.0 / (count + 2.0);
+        let slope = (self.xy / count - x * y + doubt) / (self.xx / count - x * x + doubt);
+        (y + slope * (estimate.ln() - x)).exp() * self.told.or(1.0)
+    }
+}
+
 /// What a category turned out to need against what was estimated, and how long it takes.
 #[derive(Clone, Default)]
 struct Learned {
     work: Mean,
     memory: Mean,
-    work_ratio: Mean,
-    memory_ratio: Mean,
+    work_by_cost: Fit,
+    memory_by_estimate: Fit,
     /// Time for each second of work a thread, with the best grant and at the quarter.
     pace: Mean,
     quarter_pace: Mean,
@@ -353,7 +376,6 @@
     repeats: VecDeque<f64>,
     density: Mean,
     threads_each: Mean,
-    tenants: Vec<Mean>,
     next_tick: f64,
     armed: Option<f64>,
     watch_at: Option<f64>,
@@ -377,7 +399,6 @@
     pub fn new(given: Deployment, seed: u64, now: f64) -> Self {
         Gateway {
             learned: vec![Learned::default(); given.categories.len()],
-            tenants: vec![Mean::default(); given.tenants.len()],
             watch_at: given.ask_within.map(|_| now),
             next_tick: now + TICK,
             seed,
@@ -430,20 +451,15 @@
         self.taken_at.push_back(now);
         let category = &self.given.categories[taken.category];
         let learned = &mut self.learned[taken.category];
-        let keep = 0.995;
-        let work = taken.cost.map(|cost| cost * learned.work_ratio.or(1.0)).unwrap_or(learned.work.or(1.0));
-        let memory = taken.memory_mb.map(|estimate| estimate * learned.memory_ratio.or(1.0));
+        let work = taken.cost.map(|cost| learned.work_by_cost.guess(cost)).unwrap_or(learned.work.or(1.0));
+        let memory = taken.memory_mb.map(|estimate| learned.memory_by_estimate.guess(estimate));
         let memory = memory.unwrap_or(learned.memory.or(0.0));
         if learned.work.weight == 0.0 {
             learned.work.add(work, 0.01, 1.0);
         }
-        for (at, tenant) in self.tenants.iter_mut().enumerate() {
-            tenant.add(f64::from(u8::from(taken.tenant == Some(at))), 1.0, keep);
-        }
         let expected_at = now + category.expected_time + category.stretch * work / category.threads;
-        let credit = self.fair_credit(&taken);
-        let density = credit / work.max(1e-3);
-        self.density.add(density, work, keep);
+        let density = category.credit / work.max(1e-3);
+        self.density.add(density, work, 0.995);
         let job = Job { taken, at: now, work, memory, density, expected_at, ..Job::default() };
         if let (true, Some(key)) = (self.given.categories[taken.category].in_key_order, taken.key) {
             self.keys.entry(key).or_default().jobs.push_back(id);
@@ -531,10 +547,10 @@
                 learned.work.add(work, 1.0, 0.99);
                 learned.memory.add(memory, 1.0, 0.99);
                 if let Some(cost) = job.taken.cost {
-                    learned.work_ratio.add(work / cost, cost, 0.99);
+                    learned.work_by_cost.add(cost, work);
                 }
                 if let Some(estimate) = job.taken.memory_mb {
-                    learned.memory_ratio.add(memory / estimate, estimate, 0.99);
+                    learned.memory_by_estimate.add(estimate, memory);
                 }
             }
         }
@@ -727,14 +743,15 @@
             open.push(at);
         }
         let per_core = |at: &usize| self.engines[at].threads / self.engines[at].cores;
-        let fitting = open.iter().filter(|at| self.engines[at].ledger.fits(grant, now));
+        let ledger = |at: &usize| &self.engines[at].ledger;
+        let fitting = open.iter().filter(|at| ledger(at).fits(grant, now));
         let choice = fitting.take(FIRST_FITTING).min_by(|a, b| per_core(a).total_cmp(&per_core(b)));
         if let Some(&at) = choice {
             self.push(now, id, at, grant, quarter, out);
             return true;
         }
-        let roomiest = open.iter().filter(|at| self.engines[at].ledger.fits(least, now));
-        let room = |at: &usize| self.engines[at].ledger.room();
+        let roomiest = open.iter().filter(|at| ledger(at).fits(least, now));
+        let room = |at: &usize| ledger(at).limit - ledger(at).granted;
         let roomiest = roomiest.max_by(|a, b| room(a).total_cmp(&room(b))).copied();
         if let Some(at) = roomiest {
             self.push(now, id, at, least, true, out);
@@ -757,10 +774,8 @@
     fn has_room(&self, id: usize, at: usize, light: bool, now: f64) -> bool {
         let engine = &self.engines[&at];
         let cores = engine.cores;
-        let peers = match engine.room.told.is_some_and(|told| now < told + 2.0) {
-            true => engine.room.peers.or(0.0).max(0.0),
-            false => self.peers_per_core() * cores,
-        };
+        let told = engine.room.told.filter(|told| now < told + 2.0);
+        let peers = told.map_or(self.peers_per_core() * cores, |_| engine.room.peers.or(0.0).max(0.0));
         let threads = self.given.categories[self.jobs[&id].taken.category].threads;
         // Light jobs may pass the heavy ones that fill an engine.
         let limit = if light { engine.room.limit * 1.5 } else { engine.room.limit };
@@ -936,16 +951,6 @@
 
     // ---- the mechanisms beside the design ----
 
-    /// What a tenant sends beyond its portion of our traffic earns less.
-    fn fair_credit(&self, taken: &Taken) -> f64 {
-        let credit = self.given.categories[taken.category].credit;
-        let Some(tenant) = taken.tenant else { return credit };
-        let portion = self.given.tenants[tenant];
-        let sends = self.tenants[tenant].or(portion).max(1e-3);
-        let within = (portion / sends).min(1.0);
-        credit * (within + (1.0 - within) * self.given.over_portion)
-    }
-
     /// Much credit for its work, as jobs go.
     fn light(&self, id: usize) -> bool {
         self.jobs[&id].density >= self.density.or(0.0)
@@ -997,20 +1002,14 @@
     /// A push is out for far longer than it should be, and its engine has answered nothing since.
     fn overdue(&mut self, now: f64, id: usize, push: usize, out: &mut dyn Writer) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        let over = job.over;
-        let push_no = push as u32;
-        let push = &mut job.pushes[push];
-        if !push.out {
-            return;
-        }
-        let Some(engine) = self.engines.get_mut(&push.engine) else { return };
-        if engine.last_answer >= push.sent {
-            return;
-        }
+        let (over, number, push) = (job.over, push as u32, &mut job.pushes[push]);
+        let engine = self.engines.get_mut(&push.engine);
+        let silent = engine.filter(|engine| push.out && engine.last_answer < push.sent);
+        let Some(engine) = silent else { return };
         engine.doubt.add(0.0, 1.0, now);
         if self.given.call_off && !over && !push.called_off && engine.doubt.mean() < 0.5 {
             push.called_off = true;
-            out.call_off(id, push_no);
+            out.call_off(id, number);
         }
     }
 }
