--- a/src/logic.rs
+++ b/src/logic.rs
@@ -105,11 +105,7 @@
             self.theta = if before < self.median() / 4.0 { 0.0 } else { before * (1.0 - Self::STEP) };
         } else if !self.climbing {
             if wait > self.last_wait * 1.1 {
-                if before == 0.0 {
-                    self.theta = self.median();
-                } else {
-                    self.theta *= 1.0 + Self::STEP;
-                }
+                self.theta = if before == 0.0 { self.median() } else { before * (1.0 + Self::STEP) };
                 (self.climbing, self.up, self.step, self.reversals) = (true, true, Self::STEP, 0);
             }
         } else {
@@ -185,11 +181,14 @@
     xx: f64,
     xy: f64,
     told: Mean,
+    scatter: Mean,
 }
 
 impl Fit {
     fn add(&mut self, estimate: f64, told: f64) {
-        self.told.add(told / self.guess(estimate), 1.0, 0.99);
+        let off = told.max(1e-6) / self.guess(estimate);
+        self.told.add(off, 1.0, 0.99);
+        self.scatter.add(off.ln().abs(), 1.0, 0.99);
         let (x, y) = (estimate.ln(), told.max(1e-6).ln());
         let sums = [&mut self.count, &mut self.x, &mut self.y, &mut self.xx, &mut self.xy];
         for (sum, value) in sums.into_iter().zip([1.0, x, y, x * x, x * y]) {
@@ -765,10 +764,9 @@
 
     /// Threads per core that our peers hold on an engine that tells nothing, if each sends what we send.
     fn peers_per_core(&self) -> f64 {
-        let ready = self.engines.values().filter(|engine| engine.at.stage == Stage::Ready);
-        let (threads, cores) = ready
-            .fold((0.0, 1e-9), |(threads, cores), engine| (threads + engine.threads, cores + engine.cores));
-        (self.given.gateways - 1.0) * threads / cores
+        let ready = || self.engines.values().filter(|engine| engine.at.stage == Stage::Ready);
+        let cores = ready().map(|engine| engine.cores).sum::<f64>().max(1.0);
+        (self.given.gateways - 1.0) * ready().map(|engine| engine.threads).sum::<f64>() / cores
     }
 
     fn has_room(&self, id: usize, at: usize, light: bool, now: f64) -> bool {
@@ -787,15 +785,13 @@
 
     fn push(&mut self, now: f64, id: usize, at: usize, grant: f64, quarter: bool, out: &mut dyn Writer) {
         let lane = self.lane(id);
-        let time_out = self.time_out(now, id);
+        let (time_out, patience) = (self.time_out(now, id), self.patience(&self.jobs[&id]));
         let weight = self.learned[self.jobs[&id].taken.category].work.or(1.0);
         let job = self.jobs.get_mut(&id).expect("a held job");
         let category = &self.given.categories[job.taken.category];
         if let Some(since) = job.ledger_held_at.take() {
             job.ledger_wait += now - since;
         }
-        let pace = self.learned[job.taken.category].pace();
-        let patience = 0.4 + 2.5 * job.work / category.threads * pace;
         if !job.pushes.is_empty() {
             self.repeats.push_back(now);
         }
@@ -967,6 +963,13 @@
         job.work / threads * self.learned[job.taken.category].pace()
     }
 
+    /// When a push is overdue, even if the job outgrew its estimate as far as such jobs do.
+    fn patience(&self, job: &Job) -> f64 {
+        let scatter = self.learned[job.taken.category].work_by_cost.scatter;
+        let outgrown = job.taken.cost.map_or(2.0, |_| scatter.or(0.5).exp());
+        0.4 + 2.0 * outgrown * self.run_time(job)
+    }
+
     fn last_start(&self, job: &Job) -> f64 {
         (job.expected_at - self.run_time(job)).max(job.at + 0.05)
     }
@@ -975,7 +978,7 @@
     fn time_out(&self, now: f64, id: usize) -> Option<f64> {
         let job = &self.jobs[&id];
         let run = self.run_time(job);
-        let least = 0.4 + 2.5 * run;
+        let least = self.patience(job);
         let in_time = job.expected_at - now - 1.5 * run;
         let wait = if in_time >= least { in_time } else { 2.0 * least };
         let left = job.taken.cut_off - now;
