--- a/src/logic.rs
+++ b/src/logic.rs
@@ -327,7 +327,6 @@
 #[derive(Default)]
 struct Job {
     taken: Taken,
-    at: f64,
     work: f64,
     memory: f64,
     density: f64,
@@ -459,7 +458,7 @@
         let expected_at = now + category.expected_time + category.stretch * work / category.threads;
         let density = category.credit / work.max(1e-3);
         self.density.add(density, work, 0.995);
-        let job = Job { taken, at: now, work, memory, density, expected_at, ..Job::default() };
+        let job = Job { taken, work, memory, density, expected_at, ..Job::default() };
         if let (true, Some(key)) = (self.given.categories[taken.category].in_key_order, taken.key) {
             self.keys.entry(key).or_default().jobs.push_back(id);
         }
@@ -598,6 +597,12 @@
             self.watch_at = None;
             out.watch(true);
         }
+        if now >= self.next_tick {
+            self.next_tick = now + TICK;
+            self.tick(now);
+        }
+        // Jobs are tried before they are found too late: room may just have come free.
+        self.push_held(now, out);
         while let Some(&(at, due)) = self.due.first() {
             if at > rank(now) {
                 break;
@@ -610,11 +615,6 @@
                 Due::Settled(id, push) => self.settle(id, push),
             }
         }
-        if now >= self.next_tick {
-            self.next_tick = now + TICK;
-            self.tick(now);
-        }
-        self.push_held(now, out);
         for line in self.log.drain(..) {
             out.log(&line);
         }
@@ -971,7 +971,7 @@
     }
 
     fn last_start(&self, job: &Job) -> f64 {
-        (job.expected_at - self.run_time(job)).max(job.at + 0.05)
+        job.expected_at - self.run_time(job)
     }
 
     /// So long that, should it pass unanswered, a push elsewhere may still come in time.
