A job with less time left than others of its category counts as older; usual work from all jobs

Cause: retries and a frozen gateway's backlog were held and run as if their expected time began on arrival. Stories for it, for estimates that scatter and for a backlog. May hurt where clients' patience varies by itself.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -185,8 +185,9 @@
 }
 
 impl Fit {
-    fn add(&mut self, estimate: f64, told: f64) {
-        let off = told.max(1e-6) / self.guess(estimate);
+    fn add(&mut self, estimate: Option<f64>, told: f64) {
+        let Some(estimate) = estimate else { return };
+        let off = told.max(1e-6) / self.guess(Some(estimate), 0.0);
         self.told.add(off, 1.0, 0.99);
         self.scatter.add(off.ln().abs(), 1.0, 0.99);
         let (x, y) = (estimate.ln(), told.max(1e-6).ln());
@@ -196,7 +197,8 @@
         }
     }
 
-    fn guess(&self, estimate: f64) -> f64 {
+    fn guess(&self, estimate: Option<f64>, mean: f64) -> f64 {
+        let Some(estimate) = estimate else { return mean };
         let count = self.count.max(1e-9);
         let (x, y) = (self.x / count, self.y / count);
         // A few jobs' worth of belief that estimates are good.
@@ -216,6 +218,7 @@
     /// Time for each second of work a thread, with the best grant and at the quarter.
     pace: Mean,
     quarter_pace: Mean,
+    longest_lead: f64,
 }
 
 impl Learned {
@@ -449,13 +452,14 @@
         self.taken_at.push_back(now);
         let category = &self.given.categories[taken.category];
         let learned = &mut self.learned[taken.category];
-        let work = taken.cost.map(|cost| learned.work_by_cost.guess(cost)).unwrap_or(learned.work.or(1.0));
-        let memory = taken.memory_mb.map(|estimate| learned.memory_by_estimate.guess(estimate));
-        let memory = memory.unwrap_or(learned.memory.or(0.0));
-        if learned.work.weight == 0.0 {
-            learned.work.add(work, 0.01, 1.0);
-        }
-        let expected_at = now + category.expected_time + category.stretch * work / category.threads;
+        let work = learned.work_by_cost.guess(taken.cost, learned.work.or(1.0));
+        let memory = learned.memory_by_estimate.guess(taken.memory_mb, learned.memory.or(0.0));
+        // Also from those that never run: the heavy ones are turned back first.
+        learned.work.add(work, 1.0, 0.99);
+        // What has less time left than others of its category came late, or its client has tried before.
+        learned.longest_lead = learned.longest_lead.max(taken.cut_off - now);
+        let age = learned.longest_lead - (taken.cut_off - now);
+        let expected_at = now - age + category.expected_time + category.stretch * work / category.threads;
         let density = category.credit / work.max(1e-3);
         self.density.add(density, work, 0.995);
         let job = Job { taken, work, memory, density, expected_at, ..Job::default() };
@@ -544,12 +548,8 @@
             if end.told.is_some() {
                 learned.work.add(work, 1.0, 0.99);
                 learned.memory.add(memory, 1.0, 0.99);
-                if let Some(cost) = job.taken.cost {
-                    learned.work_by_cost.add(cost, work);
-                }
-                if let Some(estimate) = job.taken.memory_mb {
-                    learned.memory_by_estimate.add(estimate, memory);
-                }
+                learned.work_by_cost.add(job.taken.cost, work);
+                learned.memory_by_estimate.add(job.taken.memory_mb, memory);
             }
         }
         if matches!(end.ending, Ending::TimedOut | Ending::Broken | Ending::CalledOff) {
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -129,10 +129,19 @@
     }
 
     pub fn over(&mut self, job: usize, ending: Ending, spent: f64) {
+        self.end(job, ending, spent, None);
+    }
+
+    /// Delivered, and told what it needed.
+    pub fn tell(&mut self, job: usize, spent: f64, work: f64, memory: f64) {
+        self.end(job, Ending::Delivered, spent, Some((work, memory)));
+    }
+
+    fn end(&mut self, job: usize, ending: Ending, spent: f64, told: Option<(f64, f64)>) {
         let engine = self.engines_of(job).pop().expect("it was pushed");
         let job_over = ending == Ending::Delivered;
         let load = Load::default();
-        let end = PushEnd { job, engine, ending, job_over, spent, told: None, load };
+        let end = PushEnd { job, engine, ending, job_over, spent, told, load };
         self.gateway.push_over(self.now, &end);
     }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -418,3 +418,49 @@
     assert_eq!(asked, 2);
     assert!(world.logged("list out of reach"));
 }
+
+#[test]
+fn large_estimates_that_scatter_are_not_taken_at_their_word() {
+    let mut deployment = plain();
+    deployment.categories[1].stretch = 0.0;
+    let mut world = World::new(deployment, 1);
+    // Estimates from a fifth of the truth to twice as much: those that lie low run, and all seem too low.
+    for step in 0..60 {
+        let cost = [0.2, 0.5, 1.0, 2.0][step % 4];
+        let job = world.job(1, |taken| taken.cost = Some(cost));
+        world.pass(0.5);
+        world.tell(job, 0.5, 1.0, 1000.0);
+    }
+    for _ in 0..4 {
+        world.job(1, |taken| taken.cost = Some(0.2));
+    }
+    world.round();
+    // Held, and at its word it could never come in time.
+    let large = world.job(1, |taken| taken.cost = Some(8.0));
+    world.pass(0.5);
+    assert_eq!((world.engines_of(large).len(), world.answers(large).len()), (0, 0));
+}
+
+#[test]
+fn a_backlog_after_a_freeze_is_tried_before_it_is_turned_back() {
+    let mut world = World::new(plain(), 4);
+    let early = world.job(0, |_| ());
+    world.round();
+    world.over(early, Ending::Delivered, 0.1);
+    // Frozen for two and a half seconds: the jobs that came meanwhile are late when they are seen.
+    world.now += 2.5;
+    let late: Vec<usize> = (0..4).map(|_| world.job(0, |taken| taken.cut_off -= 2.5)).collect();
+    world.round();
+    assert!(late.iter().all(|&job| world.engines_of(job).len() == 1));
+}
+
+#[test]
+fn a_job_that_came_late_has_less_time_to_be_held() {
+    let mut world = World::new(plain(), 1);
+    let full: Vec<usize> = (0..8).map(|_| world.job(1, |_| ())).collect();
+    world.round();
+    let late = world.job(1, |taken| taken.cut_off -= 2.0);
+    world.pass(1.0);
+    assert_eq!(world.answers(late).len(), 1);
+    assert!(full.iter().any(|&job| world.engines_of(job).is_empty() && world.answers(job).is_empty()));
+}
