Time-outs only where they stop the work or the engine is in doubt

May hurt in the first second after an engine falls silent: what it holds then waits for the cut-off.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -785,7 +785,7 @@
 
     fn push(&mut self, now: f64, id: usize, at: usize, grant: f64, quarter: bool, out: &mut dyn Writer) {
         let lane = self.lane(id);
-        let (time_out, patience) = (self.time_out(now, id), self.patience(&self.jobs[&id]));
+        let (time_out, patience) = (self.time_out(now, id, at), self.patience(&self.jobs[&id]));
         let weight = self.learned[self.jobs[&id].taken.category].work.or(1.0);
         let job = self.jobs.get_mut(&id).expect("a held job");
         let category = &self.given.categories[job.taken.category];
@@ -975,8 +975,12 @@
     }
 
     /// So long that, should it pass unanswered, a push elsewhere may still come in time.
-    fn time_out(&self, now: f64, id: usize) -> Option<f64> {
+    /// Where the work goes on all the same, only an engine in doubt is not worth waiting for.
+    fn time_out(&self, now: f64, id: usize, at: usize) -> Option<f64> {
         let job = &self.jobs[&id];
+        if !self.given.call_off && self.engines[&at].doubt.mean() > Doubt::TRUST {
+            return None;
+        }
         let run = self.run_time(job);
         let least = self.patience(job);
         let in_time = job.expected_at - now - 1.5 * run;
