--- a/src/logic.rs
+++ b/src/logic.rs
@@ -276,6 +276,7 @@
 /// How many threads per core an engine may hold before jobs are held here instead.
 #[derive(Default)]
 struct Room {
+    limit: f64,
     /// The threads of our peers there, as its reports tell, and when the last one did. Reports are late and
     /// noisy: only their mean, which may pass below zero, is told apart from our own pushes.
     peers: Mean,
@@ -283,7 +284,15 @@
 }
 
 impl Room {
-    const LIMIT: f64 = 1.0;
+    const START: f64 = 1.0;
+
+    fn tick(&mut self, pace: f64, used: f64) {
+        if pace > 3.0 {
+            self.limit = (self.limit * 0.95).max(Self::START * 0.5);
+        } else if pace < 2.0 && used > self.limit * 0.7 {
+            self.limit = (self.limit * 1.03).min(Self::START * 2.0);
+        }
+    }
 }
 
 #[derive(Default)]
@@ -418,6 +427,7 @@
                 *state = EngineState {
                     cores: kind.map_or(1.0, |kind| kind.cores),
                     ledger: Ledger { granted, open, limit: start, start, whole, ..Ledger::default() },
+                    room: Room { limit: Room::START, ..Room::default() },
                     threads: state.threads,
                     pushes: state.pushes,
                     holding: std::mem::take(&mut state.holding),
@@ -520,7 +530,10 @@
                         engine.ledger.press(now);
                     }
                 }
-                Ending::Full => engine.ledger.press(now),
+                Ending::Full => {
+                    engine.ledger.press(now);
+                    engine.room.limit = (engine.room.limit * 0.9).max(Room::START * 0.6);
+                }
                 Ending::Unreached => engine.doubt.add(0.0, 3.0, now),
                 Ending::Erred | Ending::Broken => engine.doubt.add(0.0, 1.0, now),
                 Ending::TimedOut if engine.last_answer < sent => engine.doubt.add(0.0, 1.0, now),
@@ -620,6 +633,7 @@
                 "θ {theta:.6}: waits {last_wait:.3} of the work, waits and runs {last_total:.3}"
             ));
         }
+        let assumed = self.peers_per_core();
         for engine in self.engines.values().filter(|engine| engine.pushes > 0) {
             let pushes = f64::from(engine.pushes);
             self.threads_each.add(engine.threads / pushes, pushes, 0.99);
@@ -629,6 +643,7 @@
             engine.doubt.fade(now);
             self.draws += 1;
             engine.doubt.draw((mix((self.seed, self.draws)) >> 11) as f64 / (1u64 << 53) as f64);
+            engine.room.tick(engine.pace.or(1.0), engine.threads / engine.cores + assumed);
             let (mean, doubted) = (engine.doubt.mean(), engine.doubt.doubted);
             if doubted != (mean < Doubt::TRUST) {
                 engine.doubt.doubted = !doubted;
@@ -761,7 +776,7 @@
         let peers = told.map_or(self.peers_per_core() * cores, |_| engine.room.peers.or(0.0).max(0.0));
         let threads = self.given.categories[self.jobs[&id].taken.category].threads;
         // Light jobs may pass the heavy ones that fill an engine.
-        let limit = if light { Room::LIMIT * 1.5 } else { Room::LIMIT };
+        let limit = if light { engine.room.limit * 1.5 } else { engine.room.limit };
         // Before reports tell, or when they lag, no gateway takes more than twice its share.
         let ours = engine.threads + threads <= 2.0 * limit * cores / self.given.gateways;
         let all = engine.threads + peers + threads <= limit * cores;
