--- a/src/logic.rs
+++ b/src/logic.rs
@@ -287,10 +287,10 @@
     const START: f64 = 1.0;
 
     fn tick(&mut self, pace: f64, used: f64) {
-        if pace > 2.5 {
-            self.limit = (self.limit * 0.9).max(Self::START * 0.5);
-        } else if pace < 1.8 && used > self.limit * 0.7 {
-            self.limit = (self.limit * 1.03).min(Self::START * 2.0);
+        if pace > 3.0 {
+            self.limit = (self.limit * 0.97).max(Self::START * 0.6);
+        } else if pace < 2.0 && used > self.limit * 0.7 {
+            self.limit = (self.limit * 1.03).min(Self::START * 1.5);
         }
     }
 }
