Doubt is measured against the best engine that the job may go to

Cause, found on reading: a category bound to few places, all in doubt, got no heavy job through at all, as it was measured against engines that it may not use.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -192,9 +192,8 @@
         self.scatter.add(off.ln().abs(), 1.0, 0.99);
         let (x, y) = (estimate.ln(), told.max(1e-6).ln());
         let sums = [&mut self.count, &mut self.x, &mut self.y, &mut self.xx, &mut self.xy];
-        for (sum, value) in sums.into_iter().zip([1.0, x, y, x * x, x * y]) {
-            *sum = *sum * 0.99 + value;
-        }
+        let values = [1.0, x, y, x * x, x * y];
+        sums.into_iter().zip(values).for_each(|(sum, value)| *sum = *sum * 0.99 + value);
     }
 
     fn guess(&self, estimate: Option<f64>, mean: f64) -> f64 {
@@ -412,9 +411,7 @@
 
     pub fn engines_listed(&mut self, now: f64, listings: &[Listing], whole: bool) {
         if whole {
-            for engine in self.engines.values_mut() {
-                engine.at.stage = Stage::Gone;
-            }
+            self.engines.values_mut().for_each(|engine| engine.at.stage = Stage::Gone);
         }
         for &listing in listings {
             let state = self.engines.entry(listing.engine).or_default();
@@ -634,9 +631,12 @@
             ));
         }
         let assumed = self.peers_per_core();
-        for engine in self.engines.values().filter(|engine| engine.pushes > 0) {
-            let pushes = f64::from(engine.pushes);
-            self.threads_each.add(engine.threads / pushes, pushes, 0.99);
+        for engine in self.engines.values() {
+            self.threads_each.add(
+                engine.threads / f64::from(engine.pushes.max(1)),
+                f64::from(engine.pushes),
+                0.99,
+            );
         }
         for (id, engine) in &mut self.engines {
             engine.ledger.tick(now);
@@ -721,45 +721,32 @@
         }
         let stalls = category.holds_tables || category.waits_for_holders;
         let light = self.light(id);
-        let best = self.engines.values().filter(|e| e.at.stage == Stage::Ready);
-        let best = best.map(|engine| engine.doubt.mean()).fold(0.0, f64::max);
-        let mut open = Vec::new();
-        for (_, at) in order {
-            if !self.may_push(id, at, now) || !self.has_room(id, at, light, now) {
-                continue;
-            }
-            // Behind a holder of ours it would only stand still, and keep its memory.
-            if stalls && self.engines[&at].holding.contains(&group) {
-                continue;
-            }
-            // One light job at a time, and one a draw, tries out an engine in doubt: whatever ails it (dead,
-            // silent, failing, slow), fast failures must not draw in job after job.
-            let engine = &self.engines[&at];
-            let doubted = engine.doubt.mean() < Doubt::TRUST * best;
-            if doubted && (engine.doubt.drawn < Doubt::TRUST * best || engine.pushes > 0 || !light) {
-                continue;
+        let engine = |at: &usize| &self.engines[at];
+        let mut open: Vec<usize> = order.into_iter().map(|(_, at)| at).collect();
+        // Behind a holder of ours it would only stand still, and keep its memory.
+        open.retain(|at| self.may_push(id, *at, now) && !(stalls && engine(at).holding.contains(&group)));
+        let trust = Doubt::TRUST * open.iter().map(|at| engine(at).doubt.mean()).fold(0.0, f64::max);
+        // One light job at a time, and one a draw, tries out an engine in doubt: whatever ails it (dead,
+        // silent, failing, slow), fast failures must not draw in job after job.
+        let tries = |engine: &EngineState| light && engine.pushes == 0 && engine.doubt.drawn >= trust;
+        open.retain(|at| engine(at).doubt.mean() >= trust || tries(engine(at)));
+        open.retain(|at| self.has_room(id, *at, light, now));
+        let per_core = |at: &usize| engine(at).threads / engine(at).cores;
+        let fitting = open.iter().filter(|at| engine(at).ledger.fits(grant, now)).take(FIRST_FITTING);
+        let choice = fitting.min_by(|a, b| per_core(a).total_cmp(&per_core(b)));
+        let room = |at: &usize| engine(at).ledger.limit - engine(at).ledger.granted;
+        let roomiest = open.iter().filter(|at| engine(at).ledger.fits(least, now));
+        let roomiest = roomiest.max_by(|a, b| room(a).total_cmp(&room(b)));
+        let choice = choice.map(|&at| (at, grant, quarter));
+        match choice.or(roomiest.map(|&at| (at, least, quarter || least < grant))) {
+            Some((at, grant, quarter)) => self.push(now, id, at, grant, quarter, out),
+            None if open.is_empty() => return false,
+            None => {
+                self.jobs.get_mut(&id).expect("held").ledger_held_at.get_or_insert(now);
+                return false;
             }
-            open.push(at);
-        }
-        let per_core = |at: &usize| self.engines[at].threads / self.engines[at].cores;
-        let ledger = |at: &usize| &self.engines[at].ledger;
-        let fitting = open.iter().filter(|at| ledger(at).fits(grant, now));
-        let choice = fitting.take(FIRST_FITTING).min_by(|a, b| per_core(a).total_cmp(&per_core(b)));
-        if let Some(&at) = choice {
-            self.push(now, id, at, grant, quarter, out);
-            return true;
         }
-        let roomiest = open.iter().filter(|at| ledger(at).fits(least, now));
-        let room = |at: &usize| ledger(at).limit - ledger(at).granted;
-        let roomiest = roomiest.max_by(|a, b| room(a).total_cmp(&room(b))).copied();
-        if let Some(at) = roomiest {
-            self.push(now, id, at, least, true, out);
-            return true;
-        }
-        if !open.is_empty() {
-            self.jobs.get_mut(&id).expect("held").ledger_held_at.get_or_insert(now);
-        }
-        false
+        true
     }
 
     /// Threads per core that our peers hold on an engine that tells nothing, if each sends what we send.
@@ -789,9 +776,7 @@
         let weight = self.learned[self.jobs[&id].taken.category].work.or(1.0);
         let job = self.jobs.get_mut(&id).expect("a held job");
         let category = &self.given.categories[job.taken.category];
-        if let Some(since) = job.ledger_held_at.take() {
-            job.ledger_wait += now - since;
-        }
+        job.ledger_wait += job.ledger_held_at.take().map_or(0.0, |since| now - since);
         if !job.pushes.is_empty() {
             self.repeats.push_back(now);
         }
@@ -801,9 +786,7 @@
         engine.doubt.drawn = 0.0;
         engine.threads += category.threads;
         engine.pushes += 1;
-        if category.holds_tables {
-            engine.holding.push(job.taken.table_group);
-        }
+        engine.holding.extend(Some(job.taken.table_group).filter(|_| category.holds_tables));
         engine.ledger.granted += grant;
         engine.ledger.open += 1;
         engine.sent.push_back((now, weight));
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -464,3 +464,22 @@
     assert_eq!(world.answers(late).len(), 1);
     assert!(full.iter().any(|&job| world.engines_of(job).is_empty() && world.answers(job).is_empty()));
 }
+
+#[test]
+fn bound_jobs_are_not_starved_when_all_their_places_are_in_doubt() {
+    let mut deployment = plain();
+    deployment.categories[1].only_zones = Some(vec![1]);
+    let mut world = World::new(deployment, 3);
+    world.gateway.engines_listed(100.0, &[Listing { zone: 1, ..listing(9) }], false);
+    for _ in 0..3 {
+        let job = world.job(1, |_| ());
+        world.round();
+        world.over(job, Ending::Broken, 0.1);
+        world.gateway.job_withdrawn(job);
+    }
+    world.pass(0.5);
+    assert!(world.logged("engine 9 doubted"));
+    let job = world.job(1, |_| ());
+    world.round();
+    assert_eq!(world.engines_of(job), [9]);
+}
