--- a/src/logic.rs
+++ b/src/logic.rs
@@ -452,7 +452,7 @@
         let work = learned.work_by_cost.guess(taken.cost, learned.work.or(1.0));
         let memory = learned.memory_by_estimate.guess(taken.memory_mb, learned.memory.or(0.0));
         // Also from those that never run: the heavy ones are turned back first.
-        learned.work.add(work, 1.0, 0.99);
+        learned.work.add(work, f64::from(u8::from(taken.cost.is_some())), 0.99);
         // What has less time left than others of its category came late, or its client has tried before.
         learned.longest_lead = learned.longest_lead.max(taken.cut_off - now);
         let age = learned.longest_lead - (taken.cut_off - now);
@@ -509,7 +509,9 @@
         let (sent, quarter) = (push.sent, push.quarter);
         let category = &self.given.categories[job.taken.category];
         let (threads, key) = (category.threads, job.taken.key.filter(|_| category.in_key_order));
-        let (work, memory) = end.told.unwrap_or((job.work, job.memory));
+        // Where work is neither told nor estimated, the time it took is the safe side for a cold engine.
+        let guess = if job.taken.cost.is_some() { job.work } else { end.spent * threads };
+        let (work, memory) = end.told.unwrap_or((guess, job.memory));
         let learned = &mut self.learned[job.taken.category];
         if let Some(engine) = self.engines.get_mut(&end.engine) {
             Self::read_load(engine, end.load, self.threads_each.or(1.0), now);
@@ -542,8 +544,10 @@
             pace.add(end.spent * threads / work.max(1e-3), work, 0.99);
             self.theta.runs.add(end.spent * threads / work.max(1e-3), work / threads, 1.0);
             self.theta.waits.add(job.ledger_wait, 1.0, 1.0);
-            if end.told.is_some() {
+            if job.taken.cost.is_none() {
                 learned.work.add(work, 1.0, 0.99);
+            }
+            if end.told.is_some() {
                 learned.memory.add(memory, 1.0, 0.99);
                 learned.work_by_cost.add(job.taken.cost, work);
                 learned.memory_by_estimate.add(job.taken.memory_mb, memory);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -483,3 +483,23 @@
     world.round();
     assert_eq!(world.engines_of(job), [9]);
 }
+
+#[test]
+fn without_estimates_a_cold_engine_is_spared_by_what_jobs_took() {
+    let mut deployment = plain();
+    deployment.gateways = 2.0;
+    let mut world = World::new(deployment, 2);
+    let bare = |taken: &mut Taken| (taken.cost, taken.memory_mb) = (None, None);
+    for _ in 0..20 {
+        let job = world.job(1, bare);
+        world.pass(0.1);
+        world.over(job, Ending::Delivered, 2.0);
+    }
+    // Eight seconds of work each: our share of what a cold engine stands is under seven in its window.
+    let gone = |engine| Listing { stage: Stage::Gone, ..listing(engine) };
+    let cold = Listing { since: Some(world.now), ..listing(5) };
+    world.gateway.engines_listed(world.now, &[gone(0), gone(1), cold], false);
+    let job = world.job(1, bare);
+    world.pass(0.5);
+    assert_eq!(world.engines_of(job), []);
+}
