--- a/src/logic.rs
+++ b/src/logic.rs
@@ -804,7 +804,7 @@
     // ---- the gate, and the end of a job ----
 
     /// Rules 2 to 7. Every push passes here.
-    fn may_push(&self, id: usize, at: usize, now: f64) -> bool {
+    pub fn may_push(&self, id: usize, at: usize, now: f64) -> bool {
         let (Some(job), Some(engine)) = (self.jobs.get(&id), self.engines.get(&at)) else { return false };
         let category = &self.given.categories[job.taken.category];
         // Rule 3: nothing new to a draining or gone engine.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -503,3 +503,37 @@
     world.pass(0.5);
     assert_eq!(world.engines_of(job), []);
 }
+
+#[test]
+fn the_gate_alone_keeps_a_job_from_a_second_effect_a_second_copy_and_one_push_too_many() {
+    let mut deployment = plain();
+    let window = Effect::Receipted { reach: Reach::All, window: 1.0 };
+    deployment.categories = vec![
+        category(1.0, 1.0, Effect::Effectful),
+        category(1.0, 1.0, window),
+        category(1.0, 1.0, Effect::Pure),
+    ];
+    deployment.most_pushes = 2;
+    let mut world = World::new(deployment, 2);
+    let jobs = [0, 1, 2].map(|category| world.job(category, |_| ()));
+    world.round();
+    let gate = |world: &World, job| (0..2).any(|engine| world.gateway.may_push(job, engine, world.now));
+    assert_eq!(jobs.map(|job| gate(&world, job)), [false; 3], "one is out");
+    world.now += 0.9;
+    jobs.iter().for_each(|&job| world.over(job, Ending::Broken, 0.9));
+    assert_eq!(jobs.map(|job| gate(&world, job)), [false, true, true]);
+    world.now += 0.2;
+    assert!(!gate(&world, jobs[1]), "its window is over");
+    world.round();
+    world.over(jobs[2], Ending::Erred, 0.1);
+    assert!(!gate(&world, jobs[2]), "it has had two");
+}
+
+#[test]
+fn the_gate_alone_keeps_key_order() {
+    let mut deployment = plain();
+    deployment.categories[0].in_key_order = true;
+    let mut world = World::new(deployment, 2);
+    let jobs = [0, 1].map(|_| world.job(0, |taken| taken.key = Some(4)));
+    assert_eq!(jobs.map(|job| world.gateway.may_push(job, 0, world.now)), [true, false]);
+}
