--- a/src/logic.rs
+++ b/src/logic.rs
@@ -714,14 +714,18 @@
     fn place(&mut self, now: f64, id: usize, out: &mut dyn Writer) -> bool {
         let (grant, least, quarter) = self.grant(id);
         let group = self.jobs[&id].taken.table_group;
+        let ready = self.engines.iter().filter(|(_, engine)| engine.at.stage == Stage::Ready);
         let mut order: Vec<(u64, usize)> =
-            self.engines.iter().map(|(&at, engine)| (mix((engine.at.name_hash, group)), at)).collect();
+            ready.map(|(&at, engine)| (mix((engine.at.name_hash, group)), at)).collect();
         order.sort_unstable();
-        // A job that holds its tables starts from the far end of the order, away from the group's readers.
+        // A job that holds its tables keeps to the far half of the order while it has time, away from readers.
         // It guards against stalls behind our peers' holders as well, as the order is the same everywhere.
         let category = &self.given.categories[self.jobs[&id].taken.category];
         if category.holds_tables {
             order.reverse();
+            let slack = self.last_start(&self.jobs[&id]) - now;
+            let far = slack > self.run_time(&self.jobs[&id]);
+            order.truncate(if far { order.len().div_ceil(2) } else { order.len() });
         }
         let stalls = category.holds_tables || category.waits_for_holders;
         let light = self.light(id);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -537,3 +537,17 @@
     let jobs = [0, 1].map(|_| world.job(0, |taken| taken.key = Some(4)));
     assert_eq!(jobs.map(|job| world.gateway.may_push(job, 0, world.now)), [true, false]);
 }
+
+#[test]
+fn holders_of_tables_keep_to_the_far_half_while_they_have_time() {
+    let mut deployment = plain();
+    let holder = Category { holds_tables: true, ..category(9.0, 2.0, Effect::Pure) };
+    deployment.categories.push(Category { expected_time: 8.0, ..holder });
+    let mut world = World::new(deployment, 6);
+    let jobs: Vec<usize> = (0..5).map(|_| world.job(2, |taken| taken.cut_off += 20.0)).collect();
+    let pushed = |world: &World| jobs.iter().filter(|&&job| !world.engines_of(job).is_empty()).count();
+    world.round();
+    assert_eq!(pushed(&world), 3);
+    world.pass(12.0);
+    assert_eq!(pushed(&world), 5);
+}
