--- a/src/logic.rs
+++ b/src/logic.rs
@@ -376,6 +376,8 @@
     repeats: VecDeque<f64>,
     density: Mean,
     threads_each: Mean,
+    /// How many peers' worth of what we send reaches engines that tell nothing; all, until we know better.
+    peers_alike: f64,
     next_tick: f64,
     armed: Option<f64>,
     watch_at: Option<f64>,
@@ -401,6 +403,7 @@
             learned: vec![Learned::default(); given.categories.len()],
             watch_at: given.ask_within.map(|_| now),
             next_tick: now + TICK,
+            peers_alike: given.gateways - 1.0,
             seed,
             given,
             ..Gateway::default()
@@ -634,6 +637,14 @@
                 "θ {theta:.6}: waits {last_wait:.3} of the work, waits and runs {last_total:.3}"
             ));
         }
+        // Engines that answer fast while jobs are held here: peers send less than we do.
+        let paces = self.engines.values().map(|engine| engine.pace);
+        let (sum, weight) = paces.fold((0.0, 1e-9), |(s, w), pace| (s + pace.sum, w + pace.weight));
+        if sum / weight < 1.8 && !self.held.is_empty() {
+            self.peers_alike *= 0.95;
+        } else if sum / weight > 2.5 {
+            self.peers_alike = (self.peers_alike * 1.1).min(self.given.gateways - 1.0);
+        }
         let assumed = self.peers_per_core();
         for engine in self.engines.values() {
             self.threads_each.add(
@@ -757,11 +768,11 @@
         true
     }
 
-    /// Threads per core that our peers hold on an engine that tells nothing, if each sends what we send.
+    /// Threads per core that our peers hold on an engine that tells nothing.
     fn peers_per_core(&self) -> f64 {
         let ready = || self.engines.values().filter(|engine| engine.at.stage == Stage::Ready);
         let cores = ready().map(|engine| engine.cores).sum::<f64>().max(1.0);
-        (self.given.gateways - 1.0) * ready().map(|engine| engine.threads).sum::<f64>() / cores
+        self.peers_alike * ready().map(|engine| engine.threads).sum::<f64>() / cores
     }
 
     fn has_room(&self, id: usize, at: usize, light: bool, now: f64) -> bool {
@@ -773,7 +784,8 @@
         // Light jobs may pass the heavy ones that fill an engine.
         let limit = if light { engine.room.limit * 1.5 } else { engine.room.limit };
         // Before reports tell, or when they lag, no gateway takes more than twice its share.
-        let ours = engine.threads + threads <= 2.0 * limit * cores / self.given.gateways;
+        let share = told.map_or(1.0 + self.peers_alike, |_| self.given.gateways);
+        let ours = engine.threads + threads <= 2.0 * limit * cores / share;
         let all = engine.threads + peers + threads <= limit * cores;
         (ours && all) || (engine.pushes == 0 && peers < limit * cores)
     }
