--- a/src/logic.rs
+++ b/src/logic.rs
@@ -640,11 +640,15 @@
         // Engines that answer fast while jobs are held here: peers send less than we do.
         let paces = self.engines.values().map(|engine| engine.pace);
         let (sum, weight) = paces.fold((0.0, 1e-9), |(s, w), pace| (s + pace.sum, w + pace.weight));
-        if sum / weight < 1.8 && !self.held.is_empty() {
-            self.peers_alike *= 0.95;
-        } else if sum / weight > 2.5 {
-            self.peers_alike = (self.peers_alike * 1.1).min(self.given.gateways - 1.0);
-        }
+        let step = if sum / weight > 2.0 {
+            1.15
+        } else if self.held.is_empty() {
+            1.0
+        } else {
+            0.97
+        };
+        let most = self.given.gateways - 1.0;
+        self.peers_alike = (self.peers_alike * step).clamp(most * 0.4, most);
         let assumed = self.peers_per_core();
         for engine in self.engines.values() {
             self.threads_each.add(
