--- a/src/logic.rs
+++ b/src/logic.rs
@@ -376,8 +376,6 @@
     repeats: VecDeque<f64>,
     density: Mean,
     threads_each: Mean,
-    /// How many peers' worth of what we send reaches engines that tell nothing; all, until we know better.
-    peers_alike: f64,
     next_tick: f64,
     armed: Option<f64>,
     watch_at: Option<f64>,
@@ -403,7 +401,6 @@
             learned: vec![Learned::default(); given.categories.len()],
             watch_at: given.ask_within.map(|_| now),
             next_tick: now + TICK,
-            peers_alike: given.gateways - 1.0,
             seed,
             given,
             ..Gateway::default()
@@ -637,18 +634,6 @@
                 "θ {theta:.6}: waits {last_wait:.3} of the work, waits and runs {last_total:.3}"
             ));
         }
-        // Engines that answer fast while jobs are held here: peers send less than we do.
-        let paces = self.engines.values().map(|engine| engine.pace);
-        let (sum, weight) = paces.fold((0.0, 1e-9), |(s, w), pace| (s + pace.sum, w + pace.weight));
-        let step = if sum / weight > 2.0 {
-            1.15
-        } else if self.held.is_empty() {
-            1.0
-        } else {
-            0.97
-        };
-        let most = self.given.gateways - 1.0;
-        self.peers_alike = (self.peers_alike * step).clamp(most * 0.4, most);
         let assumed = self.peers_per_core();
         for engine in self.engines.values() {
             self.threads_each.add(
@@ -772,11 +757,11 @@
         true
     }
 
-    /// Threads per core that our peers hold on an engine that tells nothing.
+    /// Threads per core that our peers hold on an engine that tells nothing, if each sends what we send.
     fn peers_per_core(&self) -> f64 {
         let ready = || self.engines.values().filter(|engine| engine.at.stage == Stage::Ready);
         let cores = ready().map(|engine| engine.cores).sum::<f64>().max(1.0);
-        self.peers_alike * ready().map(|engine| engine.threads).sum::<f64>() / cores
+        (self.given.gateways - 1.0) * ready().map(|engine| engine.threads).sum::<f64>() / cores
     }
 
     fn has_room(&self, id: usize, at: usize, light: bool, now: f64) -> bool {
@@ -788,8 +773,7 @@
         // Light jobs may pass the heavy ones that fill an engine.
         let limit = if light { engine.room.limit * 1.5 } else { engine.room.limit };
         // Before reports tell, or when they lag, no gateway takes more than twice its share.
-        let share = told.map_or(1.0 + self.peers_alike, |_| self.given.gateways);
-        let ours = engine.threads + threads <= 2.0 * limit * cores / share;
+        let ours = engine.threads + threads <= 2.0 * limit * cores / self.given.gateways;
         let all = engine.threads + peers + threads <= limit * cores;
         (ours && all) || (engine.pushes == 0 && peers < limit * cores)
     }
