--- a/src/logic.rs
+++ b/src/logic.rs
@@ -218,8 +218,6 @@
     pace: Mean,
     quarter_pace: Mean,
     longest_lead: f64,
-    /// The part of pushes that were overdue though their engine went on answering.
-    stuck: Mean,
 }
 
 impl Learned {
@@ -551,7 +549,6 @@
             }
             if end.told.is_some() {
                 learned.memory.add(memory, 1.0, 0.99);
-                learned.stuck.add(0.0, 1.0, 0.99);
                 learned.work_by_cost.add(job.taken.cost, work);
                 learned.memory_by_estimate.add(job.taken.memory_mb, memory);
             }
@@ -949,7 +946,7 @@
     fn lane(&self, id: usize) -> u8 {
         // Whatever stands still behind a holder of tables waits for as long as it runs: it goes fast.
         let holds = self.given.categories[self.jobs[&id].taken.category].holds_tables;
-        1 + 2 * u8::from(holds || self.light(id))
+        2 + u8::from(holds || self.light(id))
     }
 
     fn run_time(&self, job: &Job) -> f64 {
@@ -972,14 +969,11 @@
     /// Where the work goes on all the same, only an engine in doubt is not worth waiting for.
     fn time_out(&self, now: f64, id: usize, at: usize) -> Option<f64> {
         let job = &self.jobs[&id];
-        let learned = &self.learned[job.taken.category];
-        // Unless some jobs get stuck among others that run well, by a bad plan say: these are worth a new try.
-        let stuck = learned.stuck.or(0.0) > 0.05 && learned.pace() < 2.5;
-        if !self.given.call_off && !stuck && self.engines[&at].doubt.mean() > Doubt::TRUST {
+        if !self.given.call_off && self.engines[&at].doubt.mean() > Doubt::TRUST {
             return None;
         }
         let run = self.run_time(job);
-        let least = if stuck { 2.0 * run } else { self.patience(job) };
+        let least = self.patience(job);
         let in_time = job.expected_at - now - 1.5 * run;
         let wait = if in_time >= least { in_time } else { 2.0 * least };
         let left = job.taken.cut_off - now;
@@ -1008,7 +1002,6 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let (over, number, push) = (job.over, push as u32, &mut job.pushes[push]);
         let engine = self.engines.get_mut(&push.engine);
-        self.learned[job.taken.category].stuck.add(f64::from(u8::from(push.out)), 1.0, 0.99);
         let silent = engine.filter(|engine| push.out && engine.last_answer < push.sent);
         let Some(engine) = silent else { return };
         engine.doubt.add(0.0, 1.0, now);
