--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,13 +4,13 @@
 //! and their like, and then calls `round` once, which writes the decisions into the writer.
 //!
 //! The ordinary path is the design's: a job is granted memory by ROC against θ ([`Threshold`], [`Learned`]),
-//! goes to the one of the first fitting engines ([`Ledger`]) in its table group's hash order with the fewest
+//! goes to that one of the first fitting engines ([`Ledger`]) in its table group's hash order with the fewest
 //! of our threads per core, or is held. `may_push` alone keeps rules 2 to 7, `end` alone keeps rule 1.
 //!
 //! Mechanisms beside the design, six at most:
 //! 1. cold ramp: work sent to a cold engine stays within our share of what it stands (`cold_room`);
 //! 2. engine doubt: a draw from the posterior of an engine's success ([`Doubt`]);
-//! 3. time-outs and further pushes: `time_out`, `overdue`, and a budget of repeats (`Repeats`);
+//! 3. time-outs and further pushes: `time_out`, `overdue`, and a budget of them (`repeat_budget`);
 //! 4. holding and turning back: threads per core are limited ([`Room`]), the best credit for work goes first;
 //! 5. priority lanes by credit for work (`lane`).
 
@@ -22,10 +22,9 @@
 const FIRST_FITTING: usize = 2;
 /// Seconds between periodic work.
 const TICK: f64 = 0.25;
-/// The part of the peak rate that counts as an engine's capacity.
-const CAPACITY_SHARE: f64 = 0.85;
-/// How much of our share of a cold engine's budget we use.
-const COLD_CAUTION: f64 = 0.8;
+/// How much of our share of a cold engine's budget we use: its cores never do all they could, and how it warms
+/// is not told.
+const COLD_CAUTION: f64 = 0.65;
 
 /// A decaying mean.
 #[derive(Clone, Copy, Default)]
@@ -322,7 +321,7 @@
     out: bool,
     never_ran: bool,
     called_off: bool,
-    /// It no longer counts on its engine: over, and its work not taken to go on.
+    /// It no longer counts on its engine: it is over, and its work is not taken to go on there.
     settled: bool,
 }
 
@@ -351,7 +350,7 @@
     rests_until: f64,
 }
 
-/// What falls due: a job's cut-off or last sensible start, or a push that has been silent for too long.
+/// What falls due: a job's cut-off or last sensible start; a push out for too long; timed-out work done with.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     CutOff(usize),
@@ -883,7 +882,7 @@
             return f64::INFINITY;
         }
         let cold = self.given.cold;
-        let stands = cold.multiple * engine.cores * CAPACITY_SHARE * warmth * cold.window * COLD_CAUTION;
+        let stands = cold.multiple * engine.cores * warmth * cold.window * COLD_CAUTION;
         let sent = engine.sent.iter().filter(|(at, _)| *at > now - cold.window);
         stands / self.given.gateways - sent.map(|(_, work)| work).sum::<f64>()
     }
@@ -946,7 +945,7 @@
     fn lane(&self, id: usize) -> u8 {
         // Whatever stands still behind a holder of tables waits for as long as it runs: it goes fast.
         let holds = self.given.categories[self.jobs[&id].taken.category].holds_tables;
-        2 + u8::from(holds || self.light(id))
+        1 + 2 * u8::from(holds || self.light(id))
     }
 
     fn run_time(&self, job: &Job) -> f64 {
