--- a/src/logic.rs
+++ b/src/logic.rs
@@ -22,8 +22,8 @@
 const FIRST_FITTING: usize = 2;
 /// Seconds between periodic work.
 const TICK: f64 = 0.25;
-/// How much of our share of a cold engine's budget we use: its cores never do all they could, and how it warms
-/// is not told.
+/// How much of our share of a cold engine's budget we use: its cores never do all they could, and how it
+/// warms is not told.
 const COLD_CAUTION: f64 = 0.65;
 
 /// A decaying mean.
@@ -717,7 +717,7 @@
         let mut order: Vec<(u64, usize)> =
             ready.map(|(&at, engine)| (mix((engine.at.name_hash, group)), at)).collect();
         order.sort_unstable();
-        // A job that holds its tables keeps to the far half of the order while it has time, away from readers.
+        // A job that holds its tables keeps to the far half of the order while it has time, off its readers.
         // It guards against stalls behind our peers' holders as well, as the order is the same everywhere.
         let category = &self.given.categories[self.jobs[&id].taken.category];
         if category.holds_tables {
