--- a/src/logic.rs
+++ b/src/logic.rs
@@ -325,6 +325,17 @@
     settled: bool,
 }
 
+impl Push {
+    /// Whether, having perhaps run, it may be followed by another at all.
+    fn may_repeat(&self, effect: Effect, now: f64) -> bool {
+        match effect {
+            Effect::Pure => true,
+            Effect::Effectful => false,
+            Effect::Receipted { window, .. } => now < self.sent + window,
+        }
+    }
+}
+
 #[derive(Default)]
 struct Job {
     taken: Taken,
@@ -339,6 +350,11 @@
 }
 
 impl Job {
+    /// Its place among the held: the densest first.
+    fn turn(&self, id: usize) -> (u64, usize) {
+        (u64::MAX - rank(self.density), id)
+    }
+
     fn out(&self) -> bool {
         self.pushes.iter().any(|push| push.out)
     }
@@ -444,9 +460,11 @@
         self.log.push(format!("list out of reach, {} engines known", self.engines.len()));
     }
 
-    pub fn job_taken(&mut self, now: f64, id: usize, taken: Taken) {
+    pub fn job_taken(&mut self, now: f64, id: usize, mut taken: Taken) {
         self.taken_at.push_back(now);
         let category = &self.given.categories[taken.category];
+        // From here on a job has a key only where its category asks for order.
+        taken.key = taken.key.filter(|_| category.in_key_order);
         let learned = &mut self.learned[taken.category];
         let work = learned.work_by_cost.guess(taken.cost, learned.work.or(1.0));
         let memory = learned.memory_by_estimate.guess(taken.memory_mb, learned.memory.or(0.0));
@@ -459,12 +477,12 @@
         let density = category.credit / work.max(1e-3);
         self.density.add(density, work, 0.995);
         let job = Job { taken, work, memory, density, expected_at, ..Job::default() };
-        if let (true, Some(key)) = (self.given.categories[taken.category].in_key_order, taken.key) {
+        if let Some(key) = taken.key {
             self.keys.entry(key).or_default().jobs.push_back(id);
         }
         self.due.insert((rank(taken.cut_off), Due::CutOff(id)));
         self.due.insert((rank(self.last_start(&job)), Due::TooLate(id)));
-        self.held.insert((u64::MAX - rank(density), id));
+        self.held.insert(job.turn(id));
         self.jobs.insert(id, job);
     }
 
@@ -507,16 +525,16 @@
         push.never_ran = end.ending.never_ran();
         let (sent, quarter) = (push.sent, push.quarter);
         let category = &self.given.categories[job.taken.category];
-        let (threads, key) = (category.threads, job.taken.key.filter(|_| category.in_key_order));
+        let (threads, key) = (category.threads, job.taken.key);
         // Where work is neither told nor estimated, the time it took is the safe side for a cold engine.
         let guess = if job.taken.cost.is_some() { job.work } else { end.spent * threads };
         let (work, memory) = end.told.unwrap_or((guess, job.memory));
+        let pace = end.spent * threads / work.max(1e-3);
         let learned = &mut self.learned[job.taken.category];
         if let Some(engine) = self.engines.get_mut(&end.engine) {
             Self::read_load(engine, end.load, self.threads_each.or(1.0), now);
             match end.ending {
                 Ending::Delivered => {
-                    let pace = end.spent * threads / work.max(1e-3);
                     // Slow against what the category takes elsewhere: a slow machine, a pause, a crowd.
                     let slow = pace > 4.0 * learned.pace() && end.spent > 0.5;
                     engine.doubt.add(1.0, if slow { 0.5 } else { 0.0 }, now);
@@ -539,9 +557,9 @@
             }
         }
         if end.ending == Ending::Delivered {
-            let pace = if quarter { &mut learned.quarter_pace } else { &mut learned.pace };
-            pace.add(end.spent * threads / work.max(1e-3), work, 0.99);
-            self.theta.runs.add(end.spent * threads / work.max(1e-3), work / threads, 1.0);
+            let paces = if quarter { &mut learned.quarter_pace } else { &mut learned.pace };
+            paces.add(pace, work, 0.99);
+            self.theta.runs.add(pace, work / threads, 1.0);
             self.theta.waits.add(job.ledger_wait, 1.0, 1.0);
             if job.taken.cost.is_none() {
                 learned.work.add(work, 1.0, 0.99);
@@ -567,7 +585,7 @@
         if end.job_over {
             self.job_withdrawn(end.job);
         } else if let Some(job) = self.jobs.get(&end.job).filter(|job| !job.over && !job.out()) {
-            self.held.insert((u64::MAX - rank(job.density), end.job));
+            self.held.insert(job.turn(end.job));
             self.due.insert((rank(self.last_start(job)), Due::TooLate(end.job)));
         }
         self.forget_if_done(end.job);
@@ -635,11 +653,8 @@
         }
         let assumed = self.peers_per_core();
         for engine in self.engines.values() {
-            self.threads_each.add(
-                engine.threads / f64::from(engine.pushes.max(1)),
-                f64::from(engine.pushes),
-                0.99,
-            );
+            let pushes = f64::from(engine.pushes);
+            self.threads_each.add(engine.threads / pushes.max(1.0), pushes, 0.99);
         }
         for (id, engine) in &mut self.engines {
             engine.ledger.tick(now);
@@ -767,7 +782,8 @@
         let engine = &self.engines[&at];
         let cores = engine.cores;
         let told = engine.room.told.filter(|told| now < told + 2.0);
-        let peers = told.map_or(self.peers_per_core() * cores, |_| engine.room.peers.or(0.0).max(0.0));
+        let peers =
+            told.map_or_else(|| self.peers_per_core() * cores, |_| engine.room.peers.or(0.0).max(0.0));
         let threads = self.given.categories[self.jobs[&id].taken.category].threads;
         // Light jobs may pass the heavy ones that fill an engine.
         let limit = if light { engine.room.limit * 1.5 } else { engine.room.limit };
@@ -818,19 +834,16 @@
         if job.pushes.len() as u32 >= self.given.most_pushes || (job.out() && !self.given.copies) {
             return false;
         }
-        let repeat_allowed = |push: &Push| match category.effect {
-            Effect::Pure => true,
-            Effect::Effectful => false,
-            Effect::Receipted { reach, window } => {
-                let near = self.engines.get(&push.engine).is_some_and(|first| match reach {
-                    Reach::All => true,
-                    Reach::Zone => first.at.zone == engine.at.zone,
-                    Reach::Cell => first.at.cell == engine.at.cell,
-                });
-                near && now < push.sent + window
+        let near = |push: &Push| {
+            let first = &self.engines[&push.engine].at;
+            match category.effect {
+                Effect::Receipted { reach: Reach::Zone, .. } => first.zone == engine.at.zone,
+                Effect::Receipted { reach: Reach::Cell, .. } => first.cell == engine.at.cell,
+                _ => true,
             }
         };
-        if !job.pushes.iter().filter(|push| !push.never_ran).all(repeat_allowed) {
+        let mut ran = job.pushes.iter().filter(|push| !push.never_ran);
+        if !ran.all(|push| push.may_repeat(category.effect, now) && near(push)) {
             return false;
         }
         // Rule 6: placement.
@@ -858,8 +871,7 @@
     fn in_turn(&self, id: usize, now: f64) -> bool {
         let job = &self.jobs[&id];
         let line = job.taken.key.and_then(|key| self.keys.get(&key));
-        let ordered = self.given.categories[job.taken.category].in_key_order;
-        line.filter(|_| ordered).is_none_or(|line| {
+        line.is_none_or(|line| {
             line.jobs.front() == Some(&id) && (!job.pushes.is_empty() || now >= line.rests_until)
         })
     }
@@ -891,13 +903,8 @@
     fn can_never_push(&self, id: usize, now: f64) -> bool {
         let job = &self.jobs[&id];
         let effect = self.given.categories[job.taken.category].effect;
-        let spent = |push: &Push| match effect {
-            Effect::Pure => false,
-            Effect::Effectful => true,
-            Effect::Receipted { window, .. } => now >= push.sent + window,
-        };
-        job.pushes.len() as u32 >= self.given.most_pushes
-            || job.pushes.iter().filter(|push| !push.never_ran).any(spent)
+        let mut ran = job.pushes.iter().filter(|push| !push.never_ran);
+        job.pushes.len() as u32 >= self.given.most_pushes || !ran.all(|push| push.may_repeat(effect, now))
     }
 
     /// Rule 1: the one place where a job gets its answer from us.
@@ -920,7 +927,7 @@
     pub fn job_withdrawn(&mut self, id: usize) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.over = true;
-        self.held.remove(&(u64::MAX - rank(job.density), id));
+        self.held.remove(&job.turn(id));
         self.due.remove(&(rank(job.taken.cut_off), Due::CutOff(id)));
         self.forget_if_done(id);
     }
