--- a/src/logic.rs
+++ b/src/logic.rs
@@ -17,6 +17,7 @@
 use crate::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::rc::Rc;
 
 /// How many of the first fitting engines in hash order are weighed against each other.
 const FIRST_FITTING: usize = 2;
@@ -382,7 +383,13 @@
     draws: u64,
     theta: Threshold,
     learned: Vec<Learned>,
-    engines: BTreeMap<usize, EngineState>,
+    /// By index; one without cores has been in no list.
+    engines: Vec<EngineState>,
+    /// Ready engines in each table group's hash order, kept until the list changes.
+    orders: BTreeMap<u64, Rc<[usize]>>,
+    ready_cores: f64,
+    /// Our threads on ready engines, as of the last push or end of one.
+    ready_threads: f64,
     jobs: BTreeMap<usize, Job>,
     held: BTreeSet<(u64, usize)>,
     keys: BTreeMap<u64, KeyLine>,
@@ -426,10 +433,13 @@
 
     pub fn engines_listed(&mut self, now: f64, listings: &[Listing], whole: bool) {
         if whole {
-            self.engines.values_mut().for_each(|engine| engine.at.stage = Stage::Gone);
+            self.engines.iter_mut().for_each(|engine| engine.at.stage = Stage::Gone);
         }
         for &listing in listings {
-            let state = self.engines.entry(listing.engine).or_default();
+            if self.engines.len() <= listing.engine {
+                self.engines.resize_with(listing.engine + 1, EngineState::default);
+            }
+            let state = &mut self.engines[listing.engine];
             if state.cores == 0.0 || state.at.since != listing.since {
                 // New or started anew: nothing learned of it holds, but what we sent is still out.
                 let kind = self.given.kinds.get(listing.kind);
@@ -450,6 +460,26 @@
             }
             state.at = listing;
         }
+        self.orders.clear();
+        self.ready_cores = self.ready().map(|engine| engine.cores).sum::<f64>().max(1.0);
+        self.ready_threads = self.ready().map(|engine| engine.threads).sum();
+    }
+
+    fn ready(&self) -> impl Iterator<Item = &EngineState> {
+        self.engines.iter().filter(|engine| engine.at.stage == Stage::Ready && engine.cores > 0.0)
+    }
+
+    /// The ready engines in the hash order of a table group, the same at every gateway.
+    fn home_order(&mut self, group: u64) -> Rc<[usize]> {
+        if let Some(order) = self.orders.get(&group) {
+            return order.clone();
+        }
+        let ready = self.ready().map(|engine| (mix((engine.at.name_hash, group)), engine.at.engine));
+        let mut order: Vec<(u64, usize)> = ready.collect();
+        order.sort_unstable();
+        let order: Rc<[usize]> = order.into_iter().map(|(_, at)| at).collect();
+        self.orders.insert(group, order.clone());
+        order
     }
 
     /// The list could not be had; the old one stands, and a new subscription is asked for in a while.
@@ -489,7 +519,7 @@
     pub fn push_noted(&mut self, now: f64, id: usize, note: Note) {
         let Some(job) = self.jobs.get(&id) else { return };
         let Some(push) = job.pushes.iter().rfind(|push| push.out) else { return };
-        let Some(engine) = self.engines.get_mut(&push.engine) else { return };
+        let Some(engine) = self.engines.get_mut(push.engine) else { return };
         engine.last_answer = now;
         match note {
             Note::WaitsForMemory => {
@@ -531,7 +561,7 @@
         let (work, memory) = end.told.unwrap_or((guess, job.memory));
         let pace = end.spent * threads / work.max(1e-3);
         let learned = &mut self.learned[job.taken.category];
-        if let Some(engine) = self.engines.get_mut(&end.engine) {
+        if let Some(engine) = self.engines.get_mut(end.engine) {
             Self::read_load(engine, end.load, self.threads_each.or(1.0), now);
             match end.ending {
                 Ending::Delivered => {
@@ -597,8 +627,10 @@
         let push = &mut job.pushes[index];
         push.settled = true;
         let category = &self.given.categories[job.taken.category];
-        if let Some(engine) = self.engines.get_mut(&push.engine) {
+        if let Some(engine) = self.engines.get_mut(push.engine) {
             engine.threads -= category.threads;
+            let ready = engine.at.stage == Stage::Ready;
+            self.ready_threads -= if ready { category.threads } else { 0.0 };
             engine.pushes -= 1;
             let held = engine.holding.iter().position(|&group| group == job.taken.table_group);
             held.filter(|_| category.holds_tables).map(|at| engine.holding.swap_remove(at));
@@ -652,11 +684,11 @@
             ));
         }
         let assumed = self.peers_per_core();
-        for engine in self.engines.values() {
+        for engine in &self.engines {
             let pushes = f64::from(engine.pushes);
             self.threads_each.add(engine.threads / pushes.max(1.0), pushes, 0.99);
         }
-        for (id, engine) in &mut self.engines {
+        for (id, engine) in self.engines.iter_mut().enumerate() {
             engine.ledger.tick(now);
             engine.doubt.fade(now);
             self.draws += 1;
@@ -728,23 +760,19 @@
     fn place(&mut self, now: f64, id: usize, out: &mut dyn Writer) -> bool {
         let (grant, least, quarter) = self.grant(id);
         let group = self.jobs[&id].taken.table_group;
-        let ready = self.engines.iter().filter(|(_, engine)| engine.at.stage == Stage::Ready);
-        let mut order: Vec<(u64, usize)> =
-            ready.map(|(&at, engine)| (mix((engine.at.name_hash, group)), at)).collect();
-        order.sort_unstable();
+        let mut open: Vec<usize> = self.home_order(group).to_vec();
         // A job that holds its tables keeps to the far half of the order while it has time, off its readers.
         // It guards against stalls behind our peers' holders as well, as the order is the same everywhere.
         let category = &self.given.categories[self.jobs[&id].taken.category];
         if category.holds_tables {
-            order.reverse();
+            open.reverse();
             let slack = self.last_start(&self.jobs[&id]) - now;
             let far = slack > self.run_time(&self.jobs[&id]);
-            order.truncate(if far { order.len().div_ceil(2) } else { order.len() });
+            open.truncate(if far { open.len().div_ceil(2) } else { open.len() });
         }
         let stalls = category.holds_tables || category.waits_for_holders;
         let light = self.light(id);
-        let engine = |at: &usize| &self.engines[at];
-        let mut open: Vec<usize> = order.into_iter().map(|(_, at)| at).collect();
+        let engine = |at: &usize| &self.engines[*at];
         // Behind a holder of ours it would only stand still, and keep its memory.
         open.retain(|at| self.may_push(id, *at, now) && !(stalls && engine(at).holding.contains(&group)));
         let trust = Doubt::TRUST * open.iter().map(|at| engine(at).doubt.mean()).fold(0.0, f64::max);
@@ -773,13 +801,11 @@
 
     /// Threads per core that our peers hold on an engine that tells nothing, if each sends what we send.
     fn peers_per_core(&self) -> f64 {
-        let ready = || self.engines.values().filter(|engine| engine.at.stage == Stage::Ready);
-        let cores = ready().map(|engine| engine.cores).sum::<f64>().max(1.0);
-        (self.given.gateways - 1.0) * ready().map(|engine| engine.threads).sum::<f64>() / cores
+        (self.given.gateways - 1.0) * self.ready_threads / self.ready_cores
     }
 
     fn has_room(&self, id: usize, at: usize, light: bool, now: f64) -> bool {
-        let engine = &self.engines[&at];
+        let engine = &self.engines[at];
         let cores = engine.cores;
         let told = engine.room.told.filter(|told| now < told + 2.0);
         let peers =
@@ -805,9 +831,10 @@
         }
         job.pushes.push(Push { engine: at, sent: now, grant, quarter, out: true, ..Push::default() });
         self.due.insert((rank(now + patience), Due::Overdue(id, job.pushes.len() - 1)));
-        let engine = self.engines.get_mut(&at).expect("a listed engine");
+        let engine = self.engines.get_mut(at).expect("a listed engine");
         engine.doubt.drawn = 0.0;
         engine.threads += category.threads;
+        self.ready_threads += category.threads;
         engine.pushes += 1;
         engine.holding.extend(Some(job.taken.table_group).filter(|_| category.holds_tables));
         engine.ledger.granted += grant;
@@ -824,10 +851,10 @@
 
     /// Rules 2 to 7. Every push passes here.
     pub fn may_push(&self, id: usize, at: usize, now: f64) -> bool {
-        let (Some(job), Some(engine)) = (self.jobs.get(&id), self.engines.get(&at)) else { return false };
+        let (Some(job), Some(engine)) = (self.jobs.get(&id), self.engines.get(at)) else { return false };
         let category = &self.given.categories[job.taken.category];
         // Rule 3: nothing new to a draining or gone engine.
-        if job.over || engine.at.stage != Stage::Ready || now >= job.taken.cut_off {
+        if job.over || engine.at.stage != Stage::Ready || engine.cores == 0.0 || now >= job.taken.cut_off {
             return false;
         }
         // Rule 2: no second effect, and one push out unless copies are allowed.
@@ -835,7 +862,7 @@
             return false;
         }
         let near = |push: &Push| {
-            let first = &self.engines[&push.engine].at;
+            let first = &self.engines[push.engine].at;
             match category.effect {
                 Effect::Receipted { reach: Reach::Zone, .. } => first.zone == engine.at.zone,
                 Effect::Receipted { reach: Reach::Cell, .. } => first.cell == engine.at.cell,
@@ -975,7 +1002,7 @@
     /// Where the work goes on all the same, only an engine in doubt is not worth waiting for.
     fn time_out(&self, now: f64, id: usize, at: usize) -> Option<f64> {
         let job = &self.jobs[&id];
-        if !self.given.call_off && self.engines[&at].doubt.mean() > Doubt::TRUST {
+        if !self.given.call_off && self.engines[at].doubt.mean() > Doubt::TRUST {
             return None;
         }
         let run = self.run_time(job);
@@ -1007,7 +1034,7 @@
     fn overdue(&mut self, now: f64, id: usize, push: usize, out: &mut dyn Writer) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let (over, number, push) = (job.over, push as u32, &mut job.pushes[push]);
-        let engine = self.engines.get_mut(&push.engine);
+        let engine = self.engines.get_mut(push.engine);
         let silent = engine.filter(|engine| push.out && engine.last_answer < push.sent);
         let Some(engine) = silent else { return };
         engine.doubt.add(0.0, 1.0, now);
