--- a/src/logic.rs
+++ b/src/logic.rs
@@ -43,6 +43,11 @@
     fn or(&self, absent: f64) -> f64 {
         Some(self.sum / self.weight).filter(|mean| mean.is_finite()).unwrap_or(absent)
     }
+
+    /// With a belief that counts as much as one value.
+    fn with(&self, belief: f64) -> f64 {
+        (self.sum + belief) / (self.weight + 1.0)
+    }
 }
 
 /// θ and its climb.
@@ -276,16 +281,20 @@
 #[derive(Default)]
 struct Room {
     limit: f64,
-    /// The threads of our peers there, as its reports tell, and when the last one did. Reports are late and
-    /// noisy: only their mean, which may pass below zero, is told apart from our own pushes.
+    /// The threads per core of our peers there, as its reports tell, or else the pace of its answers. Both
+    /// are late and noisy: only their mean, which may pass below zero, is told apart from our own pushes.
     peers: Mean,
-    told: Option<f64>,
 }
 
 impl Room {
     const START: f64 = 1.0;
+    /// Threads per core that a deployment of many gateways is taken to run where nothing tells.
+    const USUAL: f64 = 0.75;
+    /// What is kept of the news of peers from tick to tick.
+    const KEEP: f64 = 0.9;
 
     fn tick(&mut self, pace: f64, used: f64) {
+        self.peers.add(0.0, 0.0, Self::KEEP);
         if pace > 3.0 {
             self.limit = (self.limit * 0.97).max(Self::START * 0.6);
         } else if pace < 2.0 && used > self.limit * 0.7 {
@@ -319,6 +328,8 @@
     sent: f64,
     grant: f64,
     quarter: bool,
+    /// It went in a better lane than the usual one.
+    fast: bool,
     out: bool,
     never_ran: bool,
     called_off: bool,
@@ -398,6 +409,8 @@
     repeats: VecDeque<f64>,
     density: Mean,
     threads_each: Mean,
+    /// Threads per core of our peers on all engines that told of late.
+    crowd: Mean,
     next_tick: f64,
     armed: Option<f64>,
     watch_at: Option<f64>,
@@ -532,11 +545,21 @@
         }
     }
 
-    fn read_load(engine: &mut EngineState, load: Load, each: f64, now: f64) {
-        if let Some(jobs) = load.jobs {
-            // Its jobs are taken to have as many threads each as ours everywhere.
-            engine.room.peers.add((jobs - f64::from(engine.pushes)) * each, 1.0, 0.8);
-            engine.room.told = Some(now);
+    /// `pace` is that of a job in the usual lane: where nothing is told, it is about the threads a core.
+    fn read_load(
+        engine: &mut EngineState,
+        crowd: &mut Mean,
+        load: Load,
+        each: f64,
+        pace: Option<f64>,
+        now: f64,
+    ) {
+        // Its jobs are taken to have as many threads each as ours everywhere.
+        let told = load.jobs.map(|jobs| (jobs - f64::from(engine.pushes)) * each);
+        let felt = pace.map(|pace| Room::USUAL * pace * engine.cores - engine.threads);
+        if let Some(threads) = told.or(felt) {
+            engine.room.peers.add(threads / engine.cores, 1.0, 0.8);
+            crowd.add(threads / engine.cores, 1.0, 0.9);
         }
         if load.memory_granted.is_some_and(|share| share >= 0.98) {
             engine.ledger.press(now);
@@ -553,7 +576,7 @@
         let push = &mut job.pushes[index];
         push.out = false;
         push.never_ran = end.ending.never_ran();
-        let (sent, quarter) = (push.sent, push.quarter);
+        let (sent, quarter, fast) = (push.sent, push.quarter, push.fast);
         let category = &self.given.categories[job.taken.category];
         let (threads, key) = (category.threads, job.taken.key);
         // Where work is neither told nor estimated, the time it took is the safe side for a cold engine.
@@ -562,7 +585,9 @@
         let pace = end.spent * threads / work.max(1e-3);
         let learned = &mut self.learned[job.taken.category];
         if let Some(engine) = self.engines.get_mut(end.engine) {
-            Self::read_load(engine, end.load, self.threads_each.or(1.0), now);
+            let delivered = end.ending == Ending::Delivered && !quarter && self.given.gateways > 1.0;
+            let felt = (delivered && !fast).then_some(pace);
+            Self::read_load(engine, &mut self.crowd, end.load, self.threads_each.or(1.0), felt, now);
             match end.ending {
                 Ending::Delivered => {
                     // Slow against what the category takes elsewhere: a slow machine, a pause, a crowd.
@@ -683,7 +708,8 @@
                 "θ {theta:.6}: waits {last_wait:.3} of the work, waits and runs {last_total:.3}"
             ));
         }
-        let assumed = self.peers_per_core();
+        let belief = self.believed_peers();
+        self.crowd.add(0.0, 0.0, Room::KEEP);
         for engine in &self.engines {
             let pushes = f64::from(engine.pushes);
             self.threads_each.add(engine.threads / pushes.max(1.0), pushes, 0.99);
@@ -693,7 +719,8 @@
             engine.doubt.fade(now);
             self.draws += 1;
             engine.doubt.draw((mix((self.seed, self.draws)) >> 11) as f64 / (1u64 << 53) as f64);
-            engine.room.tick(engine.pace.or(1.0), engine.threads / engine.cores + assumed);
+            let used = engine.threads / engine.cores.max(1.0) + engine.room.peers.with(belief);
+            engine.room.tick(engine.pace.or(1.0), used);
             let (mean, doubted) = (engine.doubt.mean(), engine.doubt.doubted);
             if doubted != (mean < Doubt::TRUST) {
                 engine.doubt.doubted = !doubted;
@@ -780,7 +807,8 @@
         // silent, failing, slow), fast failures must not draw in job after job.
         let tries = |engine: &EngineState| light && engine.pushes == 0 && engine.doubt.drawn >= trust;
         open.retain(|at| engine(at).doubt.mean() >= trust || tries(engine(at)));
-        open.retain(|at| self.has_room(id, *at, light, now));
+        let belief = self.believed_peers();
+        open.retain(|at| self.has_room(id, *at, light, belief));
         let per_core = |at: &usize| engine(at).threads / engine(at).cores;
         let fitting = open.iter().filter(|at| engine(at).ledger.fits(grant, now)).take(FIRST_FITTING);
         let choice = fitting.min_by(|a, b| per_core(a).total_cmp(&per_core(b)));
@@ -799,24 +827,23 @@
         true
     }
 
-    /// Threads per core that our peers hold on an engine that tells nothing, if each sends what we send.
-    fn peers_per_core(&self) -> f64 {
-        (self.given.gateways - 1.0) * self.ready_threads / self.ready_cores
+    /// Threads per core that our peers hold on an engine of which nothing tells: what they hold elsewhere;
+    /// before that is known, as much as we do each, but not more than the usual.
+    fn believed_peers(&self) -> f64 {
+        let alike = (self.given.gateways - 1.0) * self.ready_threads / self.ready_cores;
+        self.crowd.with(alike.min(Room::USUAL))
     }
 
-    fn has_room(&self, id: usize, at: usize, light: bool, now: f64) -> bool {
+    fn has_room(&self, id: usize, at: usize, light: bool, belief: f64) -> bool {
         let engine = &self.engines[at];
-        let cores = engine.cores;
-        let told = engine.room.told.filter(|told| now < told + 2.0);
-        let peers =
-            told.map_or_else(|| self.peers_per_core() * cores, |_| engine.room.peers.or(0.0).max(0.0));
+        let peers = engine.room.peers.with(belief).max(0.0);
         let threads = self.given.categories[self.jobs[&id].taken.category].threads;
         // Light jobs may pass the heavy ones that fill an engine.
         let limit = if light { engine.room.limit * 1.5 } else { engine.room.limit };
-        // Before reports tell, or when they lag, no gateway takes more than twice its share.
-        let ours = engine.threads + threads <= 2.0 * limit * cores / self.given.gateways;
-        let all = engine.threads + peers + threads <= limit * cores;
-        (ours && all) || (engine.pushes == 0 && peers < limit * cores)
+        // Before reports tell, or when they lag, no gateway takes more than twice its share, or a quarter.
+        let ours = (engine.threads + threads) / engine.cores;
+        let share = (2.0 / self.given.gateways).max(0.25);
+        (ours <= share * limit && ours + peers <= limit) || (engine.pushes == 0 && peers < limit)
     }
 
     fn push(&mut self, now: f64, id: usize, at: usize, grant: f64, quarter: bool, out: &mut dyn Writer) {
@@ -829,7 +856,8 @@
         if !job.pushes.is_empty() {
             self.repeats.push_back(now);
         }
-        job.pushes.push(Push { engine: at, sent: now, grant, quarter, out: true, ..Push::default() });
+        let fast = self.given.lanes && lane > 1;
+        job.pushes.push(Push { engine: at, sent: now, grant, quarter, fast, out: true, ..Push::default() });
         self.due.insert((rank(now + patience), Due::Overdue(id, job.pushes.len() - 1)));
         let engine = self.engines.get_mut(at).expect("a listed engine");
         engine.doubt.drawn = 0.0;
