--- a/src/logic.rs
+++ b/src/logic.rs
@@ -20,7 +20,7 @@
 use std::rc::Rc;
 
 /// How many of the first fitting engines in hash order are weighed against each other.
-const FIRST_FITTING: usize = 2;
+const FIRST_FITTING: usize = 3;
 /// Seconds between periodic work.
 const TICK: f64 = 0.25;
 /// How much of our share of a cold engine's budget we use: its cores never do all they could, and how it
@@ -44,6 +44,10 @@
         Some(self.sum / self.weight).filter(|mean| mean.is_finite()).unwrap_or(absent)
     }
 
+    fn fade(&mut self, keep: f64) {
+        (self.sum, self.weight) = (self.sum * keep, self.weight * keep);
+    }
+
     /// With a belief that counts as much as one value.
     fn with(&self, belief: f64) -> f64 {
         (self.sum + belief) / (self.weight + 1.0)
@@ -180,11 +184,8 @@
 /// the far ones lie further off than the truth. Taken as they are, large ones were turned back for nothing.
 #[derive(Clone, Copy, Default)]
 struct Fit {
-    count: f64,
-    x: f64,
-    y: f64,
-    xx: f64,
-    xy: f64,
+    /// Count, x, y, xx and xy.
+    sums: [f64; 5],
     told: Mean,
     scatter: Mean,
 }
@@ -196,18 +197,23 @@
         self.told.add(off, 1.0, 0.99);
         self.scatter.add(off.ln().abs(), 1.0, 0.99);
         let (x, y) = (estimate.ln(), told.max(1e-6).ln());
-        let sums = [&mut self.count, &mut self.x, &mut self.y, &mut self.xx, &mut self.xy];
         let values = [1.0, x, y, x * x, x * y];
-        sums.into_iter().zip(values).for_each(|(sum, value)| *sum = *sum * 0.99 + value);
+        self.sums.iter_mut().zip(values).for_each(|(sum, value)| *sum = *sum * 0.99 + value);
+    }
+
+    /// What is granted over the guess, so that few jobs outgrow it and spill: a little memory more costs less
+    /// than their work done over. By the scatter seen, and at first as if it were large.
+    fn headroom(&self) -> f64 {
+        (1.25 * (self.scatter.sum + 1.2) / (self.scatter.weight + 3.0)).exp().min(1.6)
     }
 
     fn guess(&self, estimate: Option<f64>, mean: f64) -> f64 {
         let Some(estimate) = estimate else { return mean };
-        let count = self.count.max(1e-9);
-        let (x, y) = (self.x / count, self.y / count);
+        let count = self.sums[0].max(1e-9);
+        let [_, x, y, xx, xy] = self.sums.map(|sum| sum / count);
         // A few jobs' worth of belief that estimates are good.
         let doubt = 2.0 / (count + 2.0);
-        let slope = (self.xy / count - x * y + doubt) / (self.xx / count - x * x + doubt);
+        let slope = (xy - x * y + doubt) / (xx - x * x + doubt);
         (y + slope * (estimate.ln() - x)).exp() * self.told.or(1.0)
     }
 }
@@ -239,40 +245,32 @@
     }
 }
 
-/// Evidence on whether an engine answers well; old evidence fades.
+/// Evidence on whether an engine answers well, faded each tick.
 #[derive(Default)]
 struct Doubt {
-    good: f64,
-    bad: f64,
-    at: f64,
+    good: Mean,
     doubted: bool,
     /// The present draw: made anew each tick, spent by a trial.
     drawn: f64,
 }
 
 impl Doubt {
-    const HALF_LIFE: f64 = 4.0;
+    /// Half of it is gone after four seconds.
+    const KEEP: f64 = 0.9576;
     const TRUST: f64 = 0.75;
 
-    fn fade(&mut self, now: f64) {
-        let keep = 0.5_f64.powf((now - self.at) / Self::HALF_LIFE);
-        (self.good, self.bad, self.at) = (self.good * keep, self.bad * keep, now);
-    }
-
-    fn add(&mut self, good: f64, bad: f64, now: f64) {
-        self.fade(now);
-        self.good += good;
-        self.bad += bad;
+    fn add(&mut self, good: f64, bad: f64) {
+        self.good.add(good, good + bad, 1.0);
     }
 
     fn mean(&self) -> f64 {
-        (2.0 + self.good) / (2.1 + self.good + self.bad)
+        (2.0 + self.good.sum) / (2.1 + self.good.weight)
     }
 
     /// A draw from the posterior, by its mean and spread.
     fn draw(&mut self, chance: f64) {
-        let (mean, count) = (self.mean(), 2.1 + self.good + self.bad);
-        let spread = (mean * (1.0 - mean) / (count + 1.0)).sqrt();
+        let mean = self.mean();
+        let spread = (mean * (1.0 - mean) / (3.1 + self.good.weight)).sqrt();
         self.drawn = mean + (chance - 0.5) * 3.46 * spread;
     }
 }
@@ -284,17 +282,20 @@
     /// The threads per core of our peers there, as its reports tell, or else the pace of its answers. Both
     /// are late and noisy: only their mean, which may pass below zero, is told apart from our own pushes.
     peers: Mean,
+    tells: bool,
 }
 
 impl Room {
     const START: f64 = 1.0;
     /// Threads per core that a deployment of many gateways is taken to run where nothing tells.
     const USUAL: f64 = 0.75;
-    /// What is kept of the news of peers from tick to tick.
-    const KEEP: f64 = 0.9;
+    /// What is kept of the news of peers on one engine, and on all, from tick to tick: kept for less long,
+    /// gateways follow each other's last moves.
+    const KEEP: f64 = 0.98;
+    const KEEP_OF_ALL: f64 = 0.9;
 
     fn tick(&mut self, pace: f64, used: f64) {
-        self.peers.add(0.0, 0.0, Self::KEEP);
+        self.peers.fade(Self::KEEP);
         if pace > 3.0 {
             self.limit = (self.limit * 0.97).max(Self::START * 0.6);
         } else if pace < 2.0 && used > self.limit * 0.7 {
@@ -328,8 +329,6 @@
     sent: f64,
     grant: f64,
     quarter: bool,
-    /// It went in a better lane than the usual one.
-    fast: bool,
     out: bool,
     never_ran: bool,
     called_off: bool,
@@ -337,17 +336,6 @@
     settled: bool,
 }
 
-impl Push {
-    /// Whether, having perhaps run, it may be followed by another at all.
-    fn may_repeat(&self, effect: Effect, now: f64) -> bool {
-        match effect {
-            Effect::Pure => true,
-            Effect::Effectful => false,
-            Effect::Receipted { window, .. } => now < self.sent + window,
-        }
-    }
-}
-
 #[derive(Default)]
 struct Job {
     taken: Taken,
@@ -398,9 +386,6 @@
     engines: Vec<EngineState>,
     /// Ready engines in each table group's hash order, kept until the list changes.
     orders: BTreeMap<u64, Rc<[usize]>>,
-    ready_cores: f64,
-    /// Our threads on ready engines, as of the last push or end of one.
-    ready_threads: f64,
     jobs: BTreeMap<usize, Job>,
     held: BTreeSet<(u64, usize)>,
     keys: BTreeMap<u64, KeyLine>,
@@ -409,8 +394,9 @@
     repeats: VecDeque<f64>,
     density: Mean,
     threads_each: Mean,
-    /// Threads per core of our peers on all engines that told of late.
+    /// Threads per core of our peers on all engines that told of late; what is believed of the others.
     crowd: Mean,
+    belief: f64,
     next_tick: f64,
     armed: Option<f64>,
     watch_at: Option<f64>,
@@ -442,8 +428,6 @@
         }
     }
 
-    // ---- what comes in ----
-
     pub fn engines_listed(&mut self, now: f64, listings: &[Listing], whole: bool) {
         if whole {
             self.engines.iter_mut().for_each(|engine| engine.at.stage = Stage::Gone);
@@ -458,24 +442,15 @@
                 let kind = self.given.kinds.get(listing.kind);
                 let whole = kind.map_or(0.0, |kind| kind.memory_mb);
                 let start = whole / self.given.gateways;
-                let Ledger { granted, open, .. } = state.ledger;
-                *state = EngineState {
-                    cores: kind.map_or(1.0, |kind| kind.cores),
-                    ledger: Ledger { granted, open, limit: start, start, whole, ..Ledger::default() },
-                    room: Room { limit: Room::START, ..Room::default() },
-                    threads: state.threads,
-                    pushes: state.pushes,
-                    holding: std::mem::take(&mut state.holding),
-                    sent: std::mem::take(&mut state.sent),
-                    last_answer: now,
-                    ..EngineState::default()
-                };
+                state.ledger = Ledger { limit: start, start, whole, ..std::mem::take(&mut state.ledger) };
+                (state.ledger.pressed_until, state.doubt, state.pace) = Default::default();
+                (state.best_pace, state.cold) = Default::default();
+                (state.room, state.last_answer) = (Room { limit: Room::START, ..Room::default() }, now);
+                state.cores = kind.map_or(1.0, |kind| kind.cores);
             }
             state.at = listing;
         }
         self.orders.clear();
-        self.ready_cores = self.ready().map(|engine| engine.cores).sum::<f64>().max(1.0);
-        self.ready_threads = self.ready().map(|engine| engine.threads).sum();
     }
 
     fn ready(&self) -> impl Iterator<Item = &EngineState> {
@@ -511,6 +486,7 @@
         let learned = &mut self.learned[taken.category];
         let work = learned.work_by_cost.guess(taken.cost, learned.work.or(1.0));
         let memory = learned.memory_by_estimate.guess(taken.memory_mb, learned.memory.or(0.0));
+        let memory = memory * learned.memory_by_estimate.headroom();
         // Also from those that never run: the heavy ones are turned back first.
         learned.work.add(work, f64::from(u8::from(taken.cost.is_some())), 0.99);
         // What has less time left than others of its category came late, or its client has tried before.
@@ -558,6 +534,7 @@
         let told = load.jobs.map(|jobs| (jobs - f64::from(engine.pushes)) * each);
         let felt = pace.map(|pace| Room::USUAL * pace * engine.cores - engine.threads);
         if let Some(threads) = told.or(felt) {
+            engine.room.tells = told.is_some();
             engine.room.peers.add(threads / engine.cores, 1.0, 0.8);
             crowd.add(threads / engine.cores, 1.0, 0.9);
         }
@@ -576,7 +553,7 @@
         let push = &mut job.pushes[index];
         push.out = false;
         push.never_ran = end.ending.never_ran();
-        let (sent, quarter, fast) = (push.sent, push.quarter, push.fast);
+        let (sent, quarter) = (push.sent, push.quarter);
         let category = &self.given.categories[job.taken.category];
         let (threads, key) = (category.threads, job.taken.key);
         // Where work is neither told nor estimated, the time it took is the safe side for a cold engine.
@@ -585,14 +562,14 @@
         let pace = end.spent * threads / work.max(1e-3);
         let learned = &mut self.learned[job.taken.category];
         if let Some(engine) = self.engines.get_mut(end.engine) {
-            let delivered = end.ending == Ending::Delivered && !quarter && self.given.gateways > 1.0;
-            let felt = (delivered && !fast).then_some(pace);
+            let ran = matches!(end.ending, Ending::Delivered | Ending::TimedOut | Ending::CalledOff);
+            let felt = (ran && !quarter && self.given.gateways > 1.0).then_some(pace.min(8.0));
             Self::read_load(engine, &mut self.crowd, end.load, self.threads_each.or(1.0), felt, now);
             match end.ending {
                 Ending::Delivered => {
                     // Slow against what the category takes elsewhere: a slow machine, a pause, a crowd.
                     let slow = pace > 4.0 * learned.pace() && end.spent > 0.5;
-                    engine.doubt.add(1.0, if slow { 0.5 } else { 0.0 }, now);
+                    engine.doubt.add(1.0, if slow { 0.5 } else { 0.0 });
                     engine.last_answer = now;
                     engine.pace.add(pace, work, 0.9);
                     let best = engine.best_pace.unwrap_or(pace).min(engine.pace.or(pace)) * 1.001;
@@ -601,13 +578,10 @@
                         engine.ledger.press(now);
                     }
                 }
-                Ending::Full => {
-                    engine.ledger.press(now);
-                    engine.room.limit = (engine.room.limit * 0.9).max(Room::START * 0.6);
-                }
-                Ending::Unreached => engine.doubt.add(0.0, 3.0, now),
-                Ending::Erred | Ending::Broken => engine.doubt.add(0.0, 1.0, now),
-                Ending::TimedOut if engine.last_answer < sent => engine.doubt.add(0.0, 1.0, now),
+                Ending::Full => engine.ledger.press(now),
+                Ending::Unreached => engine.doubt.add(0.0, 3.0),
+                Ending::Erred | Ending::Broken => engine.doubt.add(0.0, 1.0),
+                Ending::TimedOut if engine.last_answer < sent => engine.doubt.add(0.0, 1.0),
                 _ => {}
             }
         }
@@ -654,8 +628,6 @@
         let category = &self.given.categories[job.taken.category];
         if let Some(engine) = self.engines.get_mut(push.engine) {
             engine.threads -= category.threads;
-            let ready = engine.at.stage == Stage::Ready;
-            self.ready_threads -= if ready { category.threads } else { 0.0 };
             engine.pushes -= 1;
             let held = engine.holding.iter().position(|&group| group == job.taken.table_group);
             held.filter(|_| category.holds_tables).map(|at| engine.holding.swap_remove(at));
@@ -665,8 +637,6 @@
         self.forget_if_done(id);
     }
 
-    // ---- the round ----
-
     pub fn round(&mut self, now: f64, out: &mut dyn Writer) {
         if self.watch_at.is_some_and(|at| now >= at) {
             self.watch_at = None;
@@ -686,7 +656,7 @@
             match due {
                 Due::CutOff(id) => self.end(id, out),
                 Due::TooLate(id) => self.too_late(now, id, out),
-                Due::Overdue(id, push) => self.overdue(now, id, push, out),
+                Due::Overdue(id, push) => self.overdue(id, push, out),
                 Due::Settled(id, push) => self.settle(id, push),
             }
         }
@@ -704,29 +674,31 @@
     fn tick(&mut self, now: f64) {
         if self.theta.review(now) {
             let Threshold { theta, last_wait, last_total, .. } = self.theta;
-            self.log.push(format!(
-                "θ {theta:.6}: waits {last_wait:.3} of the work, waits and runs {last_total:.3}"
-            ));
-        }
-        let belief = self.believed_peers();
-        self.crowd.add(0.0, 0.0, Room::KEEP);
-        for engine in &self.engines {
-            let pushes = f64::from(engine.pushes);
-            self.threads_each.add(engine.threads / pushes.max(1.0), pushes, 0.99);
+            let line = format!("θ {theta:.6}: waits {last_wait:.3} of the work, with runs {last_total:.3}");
+            self.log.push(line);
         }
+        // Of an engine of which nothing tells, peers are taken to hold what they hold elsewhere; before that
+        // is known, as much as we do each, but not more than the usual.
+        let sum = |of: fn(&EngineState) -> f64| self.ready().map(of).sum::<f64>();
+        let ours = sum(|engine| engine.threads) / sum(|engine| engine.cores).max(1.0);
+        self.belief = self.crowd.with(((self.given.gateways - 1.0) * ours).min(Room::USUAL));
+        self.crowd.fade(Room::KEEP_OF_ALL);
         for (id, engine) in self.engines.iter_mut().enumerate() {
             engine.ledger.tick(now);
-            engine.doubt.fade(now);
+            let pushes = f64::from(engine.pushes);
+            self.threads_each.add(engine.threads / pushes.max(1.0), pushes, 0.99);
+            engine.doubt.good.fade(Doubt::KEEP);
             self.draws += 1;
             engine.doubt.draw((mix((self.seed, self.draws)) >> 11) as f64 / (1u64 << 53) as f64);
-            let used = engine.threads / engine.cores.max(1.0) + engine.room.peers.with(belief);
-            engine.room.tick(engine.pace.or(1.0), used);
+            let used = engine.threads / engine.cores.max(1.0) + engine.room.peers.with(self.belief);
+            engine.pace.fade(Room::KEEP_OF_ALL);
+            engine.room.tick(engine.pace.with(1.5), used);
             let (mean, doubted) = (engine.doubt.mean(), engine.doubt.doubted);
             if doubted != (mean < Doubt::TRUST) {
                 engine.doubt.doubted = !doubted;
                 let word = if doubted { "trusted" } else { "doubted" };
-                let Doubt { good, bad, .. } = engine.doubt;
-                self.log.push(format!("engine {id} {word}: {good:.1} good, {bad:.1} bad"));
+                let Mean { sum, weight } = engine.doubt.good;
+                self.log.push(format!("engine {id} {word}: {sum:.1} good of {weight:.1}"));
             }
             let cold = Self::warmth(&self.given.cold, engine, now) < 1.0;
             if cold != engine.cold {
@@ -807,11 +779,18 @@
         // silent, failing, slow), fast failures must not draw in job after job.
         let tries = |engine: &EngineState| light && engine.pushes == 0 && engine.doubt.drawn >= trust;
         open.retain(|at| engine(at).doubt.mean() >= trust || tries(engine(at)));
-        let belief = self.believed_peers();
-        open.retain(|at| self.has_room(id, *at, light, belief));
-        let per_core = |at: &usize| engine(at).threads / engine(at).cores;
+        open.retain(|at| self.has_room(id, *at, light));
+        // Among many gateways ours are mostly none: those of our peers decide then, and chance after them.
+        self.draws += 1;
+        let per_core =
+            |at: &usize| (engine(at).threads / engine(at).cores, engine(at).room.peers.with(self.belief));
+        let chance = |at: &usize| mix((self.seed, self.draws, at));
+        let less = |a: &&usize, b: &&usize| {
+            let by_threads = per_core(a).partial_cmp(&per_core(b)).expect("finite");
+            by_threads.then_with(|| chance(a).cmp(&chance(b)))
+        };
         let fitting = open.iter().filter(|at| engine(at).ledger.fits(grant, now)).take(FIRST_FITTING);
-        let choice = fitting.min_by(|a, b| per_core(a).total_cmp(&per_core(b)));
+        let choice = fitting.min_by(less);
         let room = |at: &usize| engine(at).ledger.limit - engine(at).ledger.granted;
         let roomiest = open.iter().filter(|at| engine(at).ledger.fits(least, now));
         let roomiest = roomiest.max_by(|a, b| room(a).total_cmp(&room(b)));
@@ -827,22 +806,15 @@
         true
     }
 
-    /// Threads per core that our peers hold on an engine of which nothing tells: what they hold elsewhere;
-    /// before that is known, as much as we do each, but not more than the usual.
-    fn believed_peers(&self) -> f64 {
-        let alike = (self.given.gateways - 1.0) * self.ready_threads / self.ready_cores;
-        self.crowd.with(alike.min(Room::USUAL))
-    }
-
-    fn has_room(&self, id: usize, at: usize, light: bool, belief: f64) -> bool {
+    fn has_room(&self, id: usize, at: usize, light: bool) -> bool {
         let engine = &self.engines[at];
-        let peers = engine.room.peers.with(belief).max(0.0);
+        let peers = engine.room.peers.with(self.belief).max(0.0);
         let threads = self.given.categories[self.jobs[&id].taken.category].threads;
         // Light jobs may pass the heavy ones that fill an engine.
         let limit = if light { engine.room.limit * 1.5 } else { engine.room.limit };
         // Before reports tell, or when they lag, no gateway takes more than twice its share, or a quarter.
         let ours = (engine.threads + threads) / engine.cores;
-        let share = (2.0 / self.given.gateways).max(0.25);
+        let share = (2.0 / self.given.gateways).max(if engine.room.tells { 0.0 } else { 0.25 });
         (ours <= share * limit && ours + peers <= limit) || (engine.pushes == 0 && peers < limit)
     }
 
@@ -856,13 +828,11 @@
         if !job.pushes.is_empty() {
             self.repeats.push_back(now);
         }
-        let fast = self.given.lanes && lane > 1;
-        job.pushes.push(Push { engine: at, sent: now, grant, quarter, fast, out: true, ..Push::default() });
+        job.pushes.push(Push { engine: at, sent: now, grant, quarter, out: true, ..Push::default() });
         self.due.insert((rank(now + patience), Due::Overdue(id, job.pushes.len() - 1)));
         let engine = self.engines.get_mut(at).expect("a listed engine");
         engine.doubt.drawn = 0.0;
         engine.threads += category.threads;
-        self.ready_threads += category.threads;
         engine.pushes += 1;
         engine.holding.extend(Some(job.taken.table_group).filter(|_| category.holds_tables));
         engine.ledger.granted += grant;
@@ -875,8 +845,6 @@
         out.push(id, at, time_out);
     }
 
-    // ---- the gate, and the end of a job ----
-
     /// Rules 2 to 7. Every push passes here.
     pub fn may_push(&self, id: usize, at: usize, now: f64) -> bool {
         let (Some(job), Some(engine)) = (self.jobs.get(&id), self.engines.get(at)) else { return false };
@@ -886,7 +854,7 @@
             return false;
         }
         // Rule 2: no second effect, and one push out unless copies are allowed.
-        if job.pushes.len() as u32 >= self.given.most_pushes || (job.out() && !self.given.copies) {
+        if self.can_never_push(id, now) || (job.out() && !self.given.copies) {
             return false;
         }
         let near = |push: &Push| {
@@ -898,7 +866,7 @@
             }
         };
         let mut ran = job.pushes.iter().filter(|push| !push.never_ran);
-        if !ran.all(|push| push.may_repeat(category.effect, now) && near(push)) {
+        if !ran.all(near) {
             return false;
         }
         // Rule 6: placement.
@@ -957,9 +925,13 @@
     /// No push can follow, whatever comes.
     fn can_never_push(&self, id: usize, now: f64) -> bool {
         let job = &self.jobs[&id];
-        let effect = self.given.categories[job.taken.category].effect;
         let mut ran = job.pushes.iter().filter(|push| !push.never_ran);
-        job.pushes.len() as u32 >= self.given.most_pushes || !ran.all(|push| push.may_repeat(effect, now))
+        let may_repeat = |push: &Push| match self.given.categories[job.taken.category].effect {
+            Effect::Pure => true,
+            Effect::Effectful => false,
+            Effect::Receipted { window, .. } => now < push.sent + window,
+        };
+        job.pushes.len() as u32 >= self.given.most_pushes || !ran.all(may_repeat)
     }
 
     /// Rule 1: the one place where a job gets its answer from us.
@@ -997,8 +969,6 @@
         }
     }
 
-    // ---- the mechanisms beside the design ----
-
     /// Much credit for its work, as jobs go.
     fn light(&self, id: usize) -> bool {
         self.jobs[&id].density >= self.density.or(0.0)
@@ -1007,7 +977,11 @@
     fn lane(&self, id: usize) -> u8 {
         // Whatever stands still behind a holder of tables waits for as long as it runs: it goes fast.
         let holds = self.given.categories[self.jobs[&id].taken.category].holds_tables;
-        1 + 2 * u8::from(holds || self.light(id))
+        if self.light(id) {
+            3
+        } else {
+            1 + u8::from(holds)
+        }
     }
 
     fn run_time(&self, job: &Job) -> f64 {
@@ -1059,13 +1033,13 @@
     }
 
     /// A push is out for far longer than it should be, and its engine has answered nothing since.
-    fn overdue(&mut self, now: f64, id: usize, push: usize, out: &mut dyn Writer) {
+    fn overdue(&mut self, id: usize, push: usize, out: &mut dyn Writer) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let (over, number, push) = (job.over, push as u32, &mut job.pushes[push]);
         let engine = self.engines.get_mut(push.engine);
         let silent = engine.filter(|engine| push.out && engine.last_answer < push.sent);
         let Some(engine) = silent else { return };
-        engine.doubt.add(0.0, 1.0, now);
+        engine.doubt.add(0.0, 1.0);
         if self.given.call_off && !over && !push.called_off && engine.doubt.mean() < 0.5 {
             push.called_off = true;
             out.call_off(id, number);
