--- a/src/logic.rs
+++ b/src/logic.rs
@@ -332,8 +332,6 @@
     out: bool,
     never_ran: bool,
     called_off: bool,
-    /// It no longer counts on its engine: it is over, and its work is not taken to go on there.
-    settled: bool,
 }
 
 #[derive(Default)]
@@ -372,7 +370,6 @@
     CutOff(usize),
     TooLate(usize),
     Overdue(usize, usize),
-    Settled(usize, usize),
 }
 
 #[derive(Default)]
@@ -604,13 +601,7 @@
                 line.rests_until = line.rests_until.max(now + self.given.key_rest);
             }
         }
-        // Work timed out where nothing stops it goes on: it counts for twice as long again, so that an engine
-        // that crawls is not sent ever more in its place.
-        if end.ending == Ending::TimedOut && !self.given.call_off {
-            self.due.insert((rank(now + 2.0 * end.spent), Due::Settled(end.job, index)));
-        } else {
-            self.settle(end.job, index);
-        }
+        self.settle(end.job, index);
         if end.job_over {
             self.job_withdrawn(end.job);
         } else if let Some(job) = self.jobs.get(&end.job).filter(|job| !job.over && !job.out()) {
@@ -622,9 +613,8 @@
 
     /// A push no longer counts on its engine.
     fn settle(&mut self, id: usize, index: usize) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        let push = &mut job.pushes[index];
-        push.settled = true;
+        let job = &self.jobs[&id];
+        let push = &job.pushes[index];
         let category = &self.given.categories[job.taken.category];
         if let Some(engine) = self.engines.get_mut(push.engine) {
             engine.threads -= category.threads;
@@ -657,7 +647,6 @@
                 Due::CutOff(id) => self.end(id, out),
                 Due::TooLate(id) => self.too_late(now, id, out),
                 Due::Overdue(id, push) => self.overdue(id, push, out),
-                Due::Settled(id, push) => self.settle(id, push),
             }
         }
         for line in self.log.drain(..) {
@@ -964,9 +953,7 @@
         if let Some(line) = job.taken.key.and_then(|key| self.keys.get_mut(&key)) {
             line.jobs.retain(|&other| other != id);
         }
-        if job.pushes.iter().all(|push| push.settled) {
-            self.jobs.remove(&id);
-        }
+        self.jobs.remove(&id);
     }
 
     /// Much credit for its work, as jobs go.
