--- a/src/logic.rs
+++ b/src/logic.rs
@@ -518,31 +518,6 @@
         }
     }
 
-    /// `pace` is that of a job in the usual lane: where nothing is told, it is about the threads a core.
-    fn read_load(
-        engine: &mut EngineState,
-        crowd: &mut Mean,
-        load: Load,
-        each: f64,
-        pace: Option<f64>,
-        now: f64,
-    ) {
-        // Its jobs are taken to have as many threads each as ours everywhere.
-        let told = load.jobs.map(|jobs| (jobs - f64::from(engine.pushes)) * each);
-        let felt = pace.map(|pace| Room::USUAL * pace * engine.cores - engine.threads);
-        if let Some(threads) = told.or(felt) {
-            engine.room.tells = told.is_some();
-            engine.room.peers.add(threads / engine.cores, 1.0, 0.8);
-            crowd.add(threads / engine.cores, 1.0, 0.9);
-        }
-        if load.memory_granted.is_some_and(|share| share >= 0.98) {
-            engine.ledger.press(now);
-        }
-        if load.memory_waits.is_some_and(|waits| waits >= 1.0) {
-            engine.ledger.shrink(now);
-        }
-    }
-
     pub fn push_over(&mut self, now: f64, end: &PushEnd) {
         let Some(job) = self.jobs.get_mut(&end.job) else { return };
         let sent_there = |push: &Push| push.out && push.engine == end.engine;
@@ -559,9 +534,24 @@
         let pace = end.spent * threads / work.max(1e-3);
         let learned = &mut self.learned[job.taken.category];
         if let Some(engine) = self.engines.get_mut(end.engine) {
+            // The jobs that an engine tells of are taken to have as many threads each as ours everywhere; where
+            // it tells nothing, the pace of a job is about the threads a core.
+            let others =
+                end.load.jobs.map(|jobs| (jobs - f64::from(engine.pushes)) * self.threads_each.or(1.0));
             let ran = matches!(end.ending, Ending::Delivered | Ending::TimedOut | Ending::CalledOff);
-            let felt = (ran && !quarter && self.given.gateways > 1.0).then_some(pace.min(8.0));
-            Self::read_load(engine, &mut self.crowd, end.load, self.threads_each.or(1.0), felt, now);
+            let felt = Room::USUAL * pace.min(8.0) * engine.cores - engine.threads;
+            let felt = Some(felt).filter(|_| ran && !quarter && self.given.gateways > 1.0);
+            engine.room.tells = others.is_some();
+            if let Some(threads) = others.or(felt) {
+                engine.room.peers.add(threads / engine.cores, 1.0, 0.8);
+                self.crowd.add(threads / engine.cores, 1.0, 0.9);
+            }
+            if end.load.memory_granted.is_some_and(|share| share >= 0.98) {
+                engine.ledger.press(now);
+            }
+            if end.load.memory_waits.is_some_and(|waits| waits >= 1.0) {
+                engine.ledger.shrink(now);
+            }
             match end.ending {
                 Ending::Delivered => {
                     // Slow against what the category takes elsewhere: a slow machine, a pause, a crowd.
@@ -771,27 +761,24 @@
         open.retain(|at| self.has_room(id, *at, light));
         // Among many gateways ours are mostly none: those of our peers decide then, and chance after them.
         self.draws += 1;
-        let per_core =
-            |at: &usize| (engine(at).threads / engine(at).cores, engine(at).room.peers.with(self.belief));
-        let chance = |at: &usize| mix((self.seed, self.draws, at));
-        let less = |a: &&usize, b: &&usize| {
-            let by_threads = per_core(a).partial_cmp(&per_core(b)).expect("finite");
-            by_threads.then_with(|| chance(a).cmp(&chance(b)))
+        let key = |at: &&usize| {
+            let threads = [engine(at).threads / engine(at).cores, engine(at).room.peers.with(self.belief)];
+            (threads.map(rank), mix((self.seed, self.draws, at)))
         };
         let fitting = open.iter().filter(|at| engine(at).ledger.fits(grant, now)).take(FIRST_FITTING);
-        let choice = fitting.min_by(less);
+        let choice = fitting.min_by_key(key);
         let room = |at: &usize| engine(at).ledger.limit - engine(at).ledger.granted;
         let roomiest = open.iter().filter(|at| engine(at).ledger.fits(least, now));
         let roomiest = roomiest.max_by(|a, b| room(a).total_cmp(&room(b)));
         let choice = choice.map(|&at| (at, grant, quarter));
-        match choice.or(roomiest.map(|&at| (at, least, quarter || least < grant))) {
-            Some((at, grant, quarter)) => self.push(now, id, at, grant, quarter, out),
-            None if open.is_empty() => return false,
-            None => {
-                self.jobs.get_mut(&id).expect("held").ledger_held_at.get_or_insert(now);
-                return false;
-            }
-        }
+        let choice = choice.or(roomiest.map(|&at| (at, least, quarter || least < grant)));
+        let Some((at, grant, quarter)) = choice else {
+            let waits = (!open.is_empty()).then_some(now);
+            let job = self.jobs.get_mut(&id).expect("a held job");
+            job.ledger_held_at = job.ledger_held_at.or(waits);
+            return false;
+        };
+        self.push(now, id, at, grant, quarter, out);
         true
     }
 
@@ -803,7 +790,7 @@
         let limit = if light { engine.room.limit * 1.5 } else { engine.room.limit };
         // Before reports tell, or when they lag, no gateway takes more than twice its share, or a quarter.
         let ours = (engine.threads + threads) / engine.cores;
-        let share = (2.0 / self.given.gateways).max(if engine.room.tells { 0.0 } else { 0.25 });
+        let share = (2.0 / self.given.gateways).max(if engine.room.tells { 0.0 } else { 0.6 });
         (ours <= share * limit && ours + peers <= limit) || (engine.pushes == 0 && peers < limit)
     }
 
