--- a/src/logic.rs
+++ b/src/logic.rs
@@ -2,7 +2,6 @@
 //!
 //! A host makes a [`Gateway`], hands it each round's news through `engines_listed`, `job_taken`, `push_over`
 //! and their like, and then calls `round` once, which writes the decisions into the writer.
-//!
 //! The ordinary path is the design's: a job is granted memory by ROC against θ ([`Threshold`], [`Learned`]),
 //! goes to that one of the first fitting engines ([`Ledger`]) in its table group's hash order with the fewest
 //! of our threads per core, or is held. `may_push` alone keeps rules 2 to 7, `end` alone keeps rule 1.
@@ -23,9 +22,10 @@
 const FIRST_FITTING: usize = 3;
 /// Seconds between periodic work.
 const TICK: f64 = 0.25;
-/// How much of our share of a cold engine's budget we use: its cores never do all they could, and how it
-/// warms is not told.
+/// How much of a cold engine's budget we use: its cores never do all they could, how it warms is not told.
 const COLD_CAUTION: f64 = 0.65;
+/// How much of it is drawn for by lot where it is too small for a job.
+const LOT: f64 = 0.15;
 
 /// A decaying mean.
 #[derive(Clone, Copy, Default)]
@@ -86,8 +86,7 @@
         }
     }
 
-    /// The ROC that parts the memory asked for in half: by count, many small jobs would push θ past
-    /// every large one.
+    /// The ROC that parts the memory asked for in half: by count, many small jobs would pass every large one.
     fn median(&self) -> f64 {
         let mut sorted: Vec<(f64, f64)> = self.recent.iter().copied().collect();
         sorted.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -164,7 +163,6 @@
         self.pressed_until = Some(now + Self::PRESSURE_LASTS);
     }
 
-    /// A wait for memory or a spill that no grant of ours meant.
     fn shrink(&mut self, now: f64) {
         self.press(now);
         if now >= self.shrunk_at + 1.0 {
@@ -289,8 +287,7 @@
     const START: f64 = 1.0;
     /// Threads per core that a deployment of many gateways is taken to run where nothing tells.
     const USUAL: f64 = 0.75;
-    /// What is kept of the news of peers on one engine, and on all, from tick to tick: kept for less long,
-    /// gateways follow each other's last moves.
+    /// What is kept of the news of peers, on one engine and on all. Less, and gateways move together.
     const KEEP: f64 = 0.98;
     const KEEP_OF_ALL: f64 = 0.9;
 
@@ -364,7 +361,7 @@
     rests_until: f64,
 }
 
-/// What falls due: a job's cut-off or last sensible start; a push out for too long; timed-out work done with.
+/// What falls due: a job's cut-off or last sensible start; a push out for too long.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     CutOff(usize),
@@ -534,8 +531,7 @@
         let pace = end.spent * threads / work.max(1e-3);
         let learned = &mut self.learned[job.taken.category];
         if let Some(engine) = self.engines.get_mut(end.engine) {
-            // The jobs that an engine tells of are taken to have as many threads each as ours everywhere; where
-            // it tells nothing, the pace of a job is about the threads a core.
+            // The jobs that it tells of have as many threads each as ours; else pace is about threads a core.
             let others =
                 end.load.jobs.map(|jobs| (jobs - f64::from(engine.pushes)) * self.threads_each.or(1.0));
             let ran = matches!(end.ending, Ending::Delivered | Ending::TimedOut | Ending::CalledOff);
@@ -656,8 +652,7 @@
             let line = format!("θ {theta:.6}: waits {last_wait:.3} of the work, with runs {last_total:.3}");
             self.log.push(line);
         }
-        // Of an engine of which nothing tells, peers are taken to hold what they hold elsewhere; before that
-        // is known, as much as we do each, but not more than the usual.
+        // Where nothing tells, peers hold what they hold elsewhere; at first as much as we, at most the usual.
         let sum = |of: fn(&EngineState) -> f64| self.ready().map(of).sum::<f64>();
         let ours = sum(|engine| engine.threads) / sum(|engine| engine.cores).max(1.0);
         self.belief = self.crowd.with(((self.given.gateways - 1.0) * ours).min(Room::USUAL));
@@ -672,16 +667,14 @@
             let used = engine.threads / engine.cores.max(1.0) + engine.room.peers.with(self.belief);
             engine.pace.fade(Room::KEEP_OF_ALL);
             engine.room.tick(engine.pace.with(1.5), used);
-            let (mean, doubted) = (engine.doubt.mean(), engine.doubt.doubted);
-            if doubted != (mean < Doubt::TRUST) {
-                engine.doubt.doubted = !doubted;
-                let word = if doubted { "trusted" } else { "doubted" };
+            let doubted = engine.doubt.mean() < Doubt::TRUST;
+            if std::mem::replace(&mut engine.doubt.doubted, doubted) != doubted {
+                let word = if doubted { "doubted" } else { "trusted" };
                 let Mean { sum, weight } = engine.doubt.good;
                 self.log.push(format!("engine {id} {word}: {sum:.1} good of {weight:.1}"));
             }
             let cold = Self::warmth(&self.given.cold, engine, now) < 1.0;
-            if cold != engine.cold {
-                engine.cold = cold;
+            if std::mem::replace(&mut engine.cold, cold) != cold {
                 let word = if cold { "cold" } else { "warm" };
                 self.log.push(format!("engine {id} {word}: started {:.1}", engine.at.since.unwrap_or(0.0)));
             }
@@ -739,8 +732,8 @@
         let (grant, least, quarter) = self.grant(id);
         let group = self.jobs[&id].taken.table_group;
         let mut open: Vec<usize> = self.home_order(group).to_vec();
-        // A job that holds its tables keeps to the far half of the order while it has time, off its readers.
-        // It guards against stalls behind our peers' holders as well, as the order is the same everywhere.
+        // A job that holds its tables keeps to the far half of the order while it has time, off its readers,
+        // and these keep clear of our peers' holders, as the order is the same everywhere.
         let category = &self.given.categories[self.jobs[&id].taken.category];
         if category.holds_tables {
             open.reverse();
@@ -788,7 +781,7 @@
         let threads = self.given.categories[self.jobs[&id].taken.category].threads;
         // Light jobs may pass the heavy ones that fill an engine.
         let limit = if light { engine.room.limit * 1.5 } else { engine.room.limit };
-        // Before reports tell, or when they lag, no gateway takes more than twice its share, or a quarter.
+        // Reports lag: no gateway takes more than twice its share. Without any, most may come from one.
         let ours = (engine.threads + threads) / engine.cores;
         let share = (2.0 / self.given.gateways).max(if engine.room.tells { 0.0 } else { 0.6 });
         (ours <= share * limit && ours + peers <= limit) || (engine.pushes == 0 && peers < limit)
@@ -894,8 +887,15 @@
         }
         let cold = self.given.cold;
         let stands = cold.multiple * engine.cores * warmth * cold.window * COLD_CAUTION;
-        let sent = engine.sent.iter().filter(|(at, _)| *at > now - cold.window);
-        stands / self.given.gateways - sent.map(|(_, work)| work).sum::<f64>()
+        let sent =
+            engine.sent.iter().filter(|(at, _)| *at > now - cold.window).map(|(_, work)| work).sum::<f64>();
+        let share = stands / self.given.gateways;
+        // Among many gateways no job fits a share. Each draws once a window, the likelier the smaller the job,
+        // so that all together send about a seventh of what the engine stands, in jobs well below that.
+        let drawn =
+            mix((self.seed, engine.at.name_hash, (now / cold.window) as u64)) as f64 / u64::MAX as f64;
+        let lot = if sent == 0.0 { (LOT * share / drawn).min(stands / 4.0) } else { 0.0 };
+        lot.max(share - sent)
     }
 
     /// No push can follow, whatever comes.
@@ -951,11 +951,7 @@
     fn lane(&self, id: usize) -> u8 {
         // Whatever stands still behind a holder of tables waits for as long as it runs: it goes fast.
         let holds = self.given.categories[self.jobs[&id].taken.category].holds_tables;
-        if self.light(id) {
-            3
-        } else {
-            1 + u8::from(holds)
-        }
+        1 + (2 * u8::from(self.light(id))).max(u8::from(holds))
     }
 
     fn run_time(&self, job: &Job) -> f64 {
@@ -989,8 +985,7 @@
         (wait + run < left && job.pushes.len() + 1 < self.given.most_pushes as usize).then_some(wait)
     }
 
-    /// A held job whose expected time can't be met any more: turned back, unless what it would still earn
-    /// late is better than the work that waits.
+    /// A held job that can't come in time: turned back, unless what it earns late beats the work that waits.
     fn too_late(&mut self, now: f64, id: usize, out: &mut dyn Writer) {
         let Some(job) = self.jobs.get(&id).filter(|job| !job.over && !job.out()) else { return };
         let late = job.density * self.given.categories[job.taken.category].late_share;
