--- a/src/logic.rs
+++ b/src/logic.rs
@@ -652,7 +652,7 @@
             let line = format!("θ {theta:.6}: waits {last_wait:.3} of the work, with runs {last_total:.3}");
             self.log.push(line);
         }
-        // Where nothing tells, peers hold what they hold elsewhere; at first as much as we, at most the usual.
+        // Where nothing tells, peers hold what they do elsewhere; at first as much as we, at most the usual.
         let sum = |of: fn(&EngineState) -> f64| self.ready().map(of).sum::<f64>();
         let ours = sum(|engine| engine.threads) / sum(|engine| engine.cores).max(1.0);
         self.belief = self.crowd.with(((self.given.gateways - 1.0) * ours).min(Room::USUAL));
@@ -890,7 +890,7 @@
         let sent =
             engine.sent.iter().filter(|(at, _)| *at > now - cold.window).map(|(_, work)| work).sum::<f64>();
         let share = stands / self.given.gateways;
-        // Among many gateways no job fits a share. Each draws once a window, the likelier the smaller the job,
+        // Among many gateways no job fits a share: each draws once a window, likelier for smaller jobs,
         // so that all together send about a seventh of what the engine stands, in jobs well below that.
         let drawn =
             mix((self.seed, engine.at.name_hash, (now / cold.window) as u64)) as f64 / u64::MAX as f64;
