A first push must fit as well, so that many gateways do not add one each

The exemption for first pushes only asked for some room. Now it only frees from the cap on one gateway's share. Should also catch hot groups met by many gateways; may hurt jobs much wider than an engine's room.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -784,7 +784,8 @@
         // Reports lag: no gateway takes more than twice its share. Without any, most may come from one.
         let ours = (engine.threads + threads) / engine.cores;
         let share = (2.0 / self.given.gateways).max(if engine.room.tells { 0.0 } else { 0.6 });
-        (ours <= share * limit && ours + peers <= limit) || (engine.pushes == 0 && peers < limit)
+        (engine.pushes == 0 || ours <= share * limit)
+            && ours + peers <= limit.max(1.25 * threads / engine.cores)
     }
 
     fn push(&mut self, now: f64, id: usize, at: usize, grant: f64, quarter: bool, out: &mut dyn Writer) {
