--- a/crates/adapter/src/start.rs
+++ b/crates/adapter/src/start.rs
@@ -146,6 +146,7 @@
         largest_share: pairs.number("family-info.largest-share", 1.0)?,
         grants: pairs.flag("family-info.grants-count"),
         trims: pairs.text("family-info.overbooked") == Some("trim"),
+        pages: pairs.text("family-info.overbooked") == Some("swap"),
         lanes: pairs.flag("family-info.takes-priority"),
         call_off: pairs.flag("limits.cancel"),
         copies: pairs.flag("limits.second-copies"),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -78,6 +78,8 @@
     pub grants: bool,
     /// Engines short of memory give a job less than its grant.
     pub trims: bool,
+    /// Engines short of memory let every job in, and all of them slow down.
+    pub pages: bool,
     pub lanes: bool,
     pub call_off: bool,
     pub copies: bool,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,7 +5,6 @@
 //! The ordinary path is the design's: a job is granted memory by ROC against θ ([`Threshold`], [`Learned`]),
 //! goes to that one of the first fitting engines ([`Ledger`]) in its table group's hash order with the fewest
 //! of our threads per core, or is held. `may_push` alone keeps rules 2 to 7, `end` alone keeps rule 1.
-//!
 //! Mechanisms beside the design, six at most:
 //! 1. cold ramp: work sent to a cold engine stays within our share of what it stands (`cold_room`);
 //! 2. engine doubt: a draw from the posterior of an engine's success ([`Doubt`]);
@@ -27,7 +26,6 @@
 /// How much of it is drawn for by lot where it is too small for a job.
 const LOT: f64 = 0.15;
 
-/// A decaying mean.
 #[derive(Clone, Copy, Default)]
 struct Mean {
     sum: f64,
@@ -779,8 +777,9 @@
         let engine = &self.engines[at];
         let peers = engine.room.peers.with(self.belief).max(0.0);
         let threads = self.given.categories[self.jobs[&id].taken.category].threads;
-        // Light jobs may pass the heavy ones that fill an engine.
-        let limit = if light { engine.room.limit * 1.5 } else { engine.room.limit };
+        // Light jobs may pass the heavy ones that fill an engine: by more where they cannot make it page.
+        let passing = if self.given.pages { 1.5 } else { 2.0 };
+        let limit = if light { engine.room.limit * passing } else { engine.room.limit };
         // Reports lag: no gateway takes more than twice its share. Without any, most may come from one.
         let ours = (engine.threads + threads) / engine.cores;
         let share = (2.0 / self.given.gateways).max(if engine.room.tells { 0.0 } else { 0.6 });
