--- a/src/logic.rs
+++ b/src/logic.rs
@@ -980,7 +980,7 @@
         let run = self.run_time(job);
         let least = self.patience(job);
         let in_time = job.expected_at - now - 1.5 * run;
-        let wait = if in_time >= least { in_time } else { 2.0 * least };
+        let wait = (2.0 * least).max(in_time);
         let left = job.taken.cut_off - now;
         (wait + run < left && job.pushes.len() + 1 < self.given.most_pushes as usize).then_some(wait)
     }
