Answers seen after a gap of our own turn are no evidence; headroom by 1.7 times the scatter

Stories for peers' news, first pushes, lots, headroom, gaps, and lists that are empty or grow; each fails when its guard is taken out. May hurt: a gateway whose turns are always late learns nothing from times.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -24,7 +24,7 @@
 /// How much of a cold engine's budget we use: its cores never do all they could, how it warms is not told.
 const COLD_CAUTION: f64 = 0.65;
 /// How much of it is drawn for by lot where it is too small for a job.
-const LOT: f64 = 0.15;
+const LOT: f64 = 0.3;
 
 #[derive(Clone, Copy, Default)]
 struct Mean {
@@ -142,23 +142,19 @@
     limit: f64,
     start: f64,
     whole: f64,
-    pressed_until: Option<f64>,
+    pressed_until: f64,
     shrunk_at: f64,
 }
 
 impl Ledger {
     const PRESSURE_LASTS: f64 = 2.0;
 
-    fn binds(&self, now: f64) -> bool {
-        self.pressed_until.is_some_and(|until| now < until)
-    }
-
     fn fits(&self, grant: f64, now: f64) -> bool {
-        !self.binds(now) || self.open == 0 || self.granted + grant <= self.limit
+        now >= self.pressed_until || self.open == 0 || self.granted + grant <= self.limit
     }
 
     fn press(&mut self, now: f64) {
-        self.pressed_until = Some(now + Self::PRESSURE_LASTS);
+        self.pressed_until = now + Self::PRESSURE_LASTS;
     }
 
     fn shrink(&mut self, now: f64) {
@@ -170,7 +166,7 @@
     }
 
     fn tick(&mut self, now: f64) {
-        if !self.binds(now) {
+        if now >= self.pressed_until {
             self.limit = (self.limit * (1.0 + 0.1 * TICK)).min(self.whole.max(self.start));
         }
     }
@@ -200,7 +196,7 @@
     /// What is granted over the guess, so that few jobs outgrow it and spill: a little memory more costs less
     /// than their work done over. By the scatter seen, and at first as if it were large.
     fn headroom(&self) -> f64 {
-        (1.25 * (self.scatter.sum + 1.2) / (self.scatter.weight + 3.0)).exp().min(1.6)
+        (1.7 * (self.scatter.sum + 1.2) / (self.scatter.weight + 3.0)).exp().min(1.6)
     }
 
     fn guess(&self, estimate: Option<f64>, mean: f64) -> f64 {
@@ -526,15 +522,17 @@
         // Where work is neither told nor estimated, the time it took is the safe side for a cold engine.
         let guess = if job.taken.cost.is_some() { job.work } else { end.spent * threads };
         let (work, memory) = end.told.unwrap_or((guess, job.memory));
-        let pace = end.spent * threads / work.max(1e-3);
         let learned = &mut self.learned[job.taken.category];
+        // A gateway without a turn for a while cannot tell when answers came: their times are no evidence.
+        let stalled = now > self.next_tick + TICK;
+        let pace = if stalled { learned.pace() } else { end.spent * threads / work.max(1e-3) };
         if let Some(engine) = self.engines.get_mut(end.engine) {
             // The jobs that it tells of have as many threads each as ours; else pace is about threads a core.
             let others =
                 end.load.jobs.map(|jobs| (jobs - f64::from(engine.pushes)) * self.threads_each.or(1.0));
             let ran = matches!(end.ending, Ending::Delivered | Ending::TimedOut | Ending::CalledOff);
             let felt = Room::USUAL * pace.min(8.0) * engine.cores - engine.threads;
-            let felt = Some(felt).filter(|_| ran && !quarter && self.given.gateways > 1.0);
+            let felt = Some(felt).filter(|_| ran && !quarter && !stalled && self.given.gateways > 1.0);
             engine.room.tells = others.is_some();
             if let Some(threads) = others.or(felt) {
                 engine.room.peers.add(threads / engine.cores, 1.0, 0.8);
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -96,7 +96,11 @@
 
 impl World {
     pub fn new(deployment: Deployment, engines: usize) -> World {
-        let gateway = Gateway::new(deployment, 7, 100.0);
+        World::seeded(deployment, engines, 7)
+    }
+
+    pub fn seeded(deployment: Deployment, engines: usize, seed: u64) -> World {
+        let gateway = Gateway::new(deployment, seed, 100.0);
         let mut world = World { gateway, book: Book::default(), now: 100.0, next_job: 0 };
         let listings: Vec<Listing> = (0..engines).map(listing).collect();
         world.gateway.engines_listed(100.0, &listings, true);
@@ -129,18 +133,22 @@
     }
 
     pub fn over(&mut self, job: usize, ending: Ending, spent: f64) {
-        self.end(job, ending, spent, None);
+        self.end(job, ending, spent, None, Load::default());
+    }
+
+    /// Delivered by an engine that tells how many jobs it holds.
+    pub fn report(&mut self, job: usize, spent: f64, jobs: f64) {
+        self.end(job, Ending::Delivered, spent, None, Load { jobs: Some(jobs), ..Load::default() });
     }
 
     /// Delivered, and told what it needed.
     pub fn tell(&mut self, job: usize, spent: f64, work: f64, memory: f64) {
-        self.end(job, Ending::Delivered, spent, Some((work, memory)));
+        self.end(job, Ending::Delivered, spent, Some((work, memory)), Load::default());
     }
 
-    fn end(&mut self, job: usize, ending: Ending, spent: f64, told: Option<(f64, f64)>) {
+    fn end(&mut self, job: usize, ending: Ending, spent: f64, told: Option<(f64, f64)>, load: Load) {
         let engine = self.engines_of(job).pop().expect("it was pushed");
         let job_over = ending == Ending::Delivered;
-        let load = Load::default();
         let end = PushEnd { job, engine, ending, job_over, spent, told, load };
         self.gateway.push_over(self.now, &end);
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -277,7 +277,7 @@
         homes.dedup();
         homes
     };
-    assert!(homes(8).len() <= 3);
+    assert!((2..=3).contains(&homes(8).len()), "not all on the first, not on many");
     assert_eq!(homes(8), homes(8));
 }
 
@@ -533,3 +533,132 @@
     world.pass(12.0);
     assert_eq!(pushed(&world), 5);
 }
+
+#[test]
+fn a_first_push_must_fit_beside_what_peers_hold() {
+    let mut deployment = plain();
+    deployment.gateways = 20.0;
+    let mut world = World::new(deployment, 1);
+    for (jobs, pushes) in [(1.0, 1), (7.0, 0)] {
+        for _ in 0..20 {
+            let light = world.job(0, |_| ());
+            world.pass(0.1);
+            if !world.engines_of(light).is_empty() {
+                world.report(light, 0.1, jobs);
+            }
+        }
+        let heavy = world.job(1, |_| ());
+        world.pass(0.05);
+        assert_eq!(world.engines_of(heavy).len(), pushes, "{jobs} in hand");
+        if pushes > 0 {
+            world.report(heavy, 1.0, jobs);
+        }
+    }
+}
+
+#[test]
+fn news_of_one_engine_counts_for_those_that_told_nothing() {
+    let mut deployment = plain();
+    deployment.gateways = 200.0;
+    let mut world = World::new(deployment, 8);
+    for _ in 0..20 {
+        let light = world.job(0, |taken| taken.table_group = 1);
+        world.round();
+        world.report(light, 0.1, 15.0);
+    }
+    world.pass(0.3);
+    let heavy: Vec<usize> = (0..20).map(|group| world.job(1, |taken| taken.table_group = group)).collect();
+    world.round();
+    assert!(heavy.iter().all(|&job| world.engines_of(job).is_empty()));
+    // The news fades: in time engines are tried again.
+    world.pass(15.0);
+    let later = world.job(1, |_| ());
+    world.round();
+    assert_eq!(world.engines_of(later).len(), 1);
+}
+
+#[test]
+fn a_busy_gateway_among_many_fills_engines_that_tell_nothing() {
+    let mut deployment = plain();
+    deployment.gateways = 200.0;
+    let mut world = World::new(deployment, 2);
+    for _ in 0..40 {
+        let job = world.job(0, |_| ());
+        world.pass(0.1);
+        world.over(job, Ending::Delivered, 0.08);
+    }
+    let burst: Vec<usize> = (0..8).map(|_| world.job(0, |_| ())).collect();
+    world.round();
+    assert!(burst.iter().all(|&job| world.engines_of(job).len() == 1));
+}
+
+#[test]
+fn grants_have_headroom_until_memory_estimates_prove_right() {
+    let mut world = World::new(plain(), 2);
+    let mut grants = Vec::new();
+    for _ in 0..80 {
+        let job = world.job(1, |_| ());
+        world.pass(0.1);
+        grants.push(world.grant_of(job));
+        world.tell(job, 1.0, 4.0, 1000.0);
+    }
+    assert!((1300.0..1700.0).contains(&grants[0]), "{}", grants[0]);
+    assert!((1000.0..1100.0).contains(&grants[79]), "{}", grants[79]);
+}
+
+#[test]
+fn hundreds_of_gateways_together_spare_a_cold_engine_but_use_it() {
+    let mut deployment = plain();
+    deployment.gateways = 300.0;
+    let ColdStart { from, multiple, window, .. } = deployment.cold;
+    let stands = multiple * 8.0 * from * window;
+    let mut work = 0.0;
+    for seed in 0..300 {
+        let mut world = World::seeded(deployment.clone(), 0, seed);
+        world.gateway.engines_listed(100.0, &[Listing { since: Some(100.0), ..listing(0) }], true);
+        let jobs: Vec<usize> = (0..4).map(|at| world.job(usize::from(at == 3), |_| ())).collect();
+        world.pass(window / 2.0);
+        work += jobs.iter().map(|&job| world.engines_of(job).len() as f64 * [0.1, 4.0][job / 3]).sum::<f64>();
+    }
+    assert!(work > 0.0 && work < stands / 2.0, "{work} of {stands}");
+}
+
+#[test]
+fn answers_seen_after_a_gap_of_our_own_turn_are_no_evidence() {
+    for (gap, doubted) in [(0.2, true), (3.0, false)] {
+        let mut world = World::new(plain(), 1);
+        let early = world.job(0, |_| ());
+        world.round();
+        world.over(early, Ending::Delivered, 0.1);
+        let jobs: Vec<usize> = (0..10).map(|_| world.job(0, |_| ())).collect();
+        world.pass(3.0 - gap);
+        // Time goes on, but we have no turn.
+        world.now += gap;
+        jobs.iter().for_each(|&job| world.over(job, Ending::Delivered, 3.0));
+        world.round();
+        world.pass(0.3);
+        assert_eq!(world.logged("doubted"), doubted, "a gap of {gap}");
+    }
+}
+
+#[test]
+fn a_list_may_be_empty_and_grow_fivefold_and_start_cold() {
+    let mut deployment = plain();
+    deployment.gateways = 500.0;
+    let mut world = World::new(deployment, 0);
+    let early = world.job(0, |_| ());
+    world.pass(0.5);
+    for count in [2, 10] {
+        let since = Some(world.now);
+        let cold: Vec<Listing> = (0..count).map(|at| Listing { since, ..listing(at) }).collect();
+        world.gateway.engines_listed(world.now, &cold, true);
+        world.pass(30.0);
+        let warm: Vec<usize> = (0..40).map(|group| world.job(0, |taken| taken.table_group = group)).collect();
+        world.round();
+        let mut used: Vec<usize> = warm.iter().flat_map(|&job| world.engines_of(job)).collect();
+        used.sort_unstable();
+        used.dedup();
+        assert!(used.len() > count / 2, "{used:?} of {count}");
+    }
+    assert_eq!(world.answers(early).len(), 1);
+}
