--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -631,6 +631,7 @@
         world.round();
         world.over(early, Ending::Delivered, 0.1);
         let jobs: Vec<usize> = (0..10).map(|_| world.job(0, |_| ())).collect();
+        world.round();
         world.pass(3.0 - gap);
         // Time goes on, but we have no turn.
         world.now += gap;
