--- a/src/logic.rs
+++ b/src/logic.rs
@@ -252,7 +252,7 @@
     const TRUST: f64 = 0.75;
 
     fn add(&mut self, good: f64, bad: f64) {
-        self.good.add(good, good + bad, 1.0);
+        self.good.add(good / (good + bad), good + bad, 1.0);
     }
 
     fn mean(&self) -> f64 {
