--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -667,6 +667,7 @@
 #[test]
 fn an_engine_that_stays_silent_stays_in_doubt() {
     let mut world = World::new(plain(), 2);
+    world.pass(0.1);
     let silent = world.job(1, |taken| taken.cut_off += 50.0);
     world.round();
     let at = world.engines_of(silent)[0];
