An engine that has told its load once counts as telling, also after a time-out

Cause: read in review: a push that timed out brings no report, and its engine then passed for one that tells nothing, where one gateway may fill more than its share.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,7 +6,7 @@
 //! goes to that one of the first fitting engines ([`Ledger`]) in its table group's hash order with the fewest
 //! of our threads per core, or is held. `may_push` alone keeps rules 2 to 7, `end` alone keeps rule 1.
 //! Mechanisms beside the design, six at most:
-//! 1. cold ramp: work sent to a cold engine stays within our share of what it stands (`cold_room`);
+//! 1. cold ramp: a cold engine gets our share of what it stands, or by lot what no share holds (`cold_room`);
 //! 2. engine doubt: a draw from the posterior of an engine's success ([`Doubt`]);
 //! 3. time-outs and further pushes: `time_out`, `overdue`, and a budget of them (`repeat_budget`);
 //! 4. holding and turning back: threads per core are limited ([`Room`]), the best credit for work goes first;
@@ -531,7 +531,7 @@
             let ran = matches!(end.ending, Ending::Delivered | Ending::TimedOut | Ending::CalledOff);
             let felt = Room::USUAL * pace.min(8.0) * engine.cores - engine.threads;
             let felt = Some(felt).filter(|_| ran && !quarter && !stalled && self.given.gateways > 1.0);
-            engine.room.tells = others.is_some();
+            engine.room.tells |= others.is_some();
             if let Some(threads) = others.or(felt) {
                 engine.room.peers.add(threads / engine.cores, 1.0, 0.8);
                 self.crowd.add(threads / engine.cores, 1.0, 0.9);
