--- a/src/logic.rs
+++ b/src/logic.rs
@@ -727,7 +727,7 @@
         let group = self.jobs[&id].taken.table_group;
         let mut open: Vec<usize> = self.home_order(group).to_vec();
         // So many of the first fitting are weighed: in a larger fleet a hot group is more for one engine.
-        let few = (open.len() / 4).clamp(2, 3);
+        let few = (open.len() / 3).clamp(2, 3);
         // A job that holds its tables keeps to the far half of the order while it has time, off its readers,
         // and these keep clear of our peers' holders, as the order is the same everywhere.
         let category = &self.given.categories[self.jobs[&id].taken.category];
