Stories of lost answers and of what passes while a gateway has no turn

The first fails when doubt trusts only near-perfect engines; the second checks that a cut-off and a drain that came during a gap are kept in the same round, and that the backlog goes out at once.

--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -677,3 +677,37 @@
     world.round();
     assert!(heavy.iter().all(|&job| !world.engines_of(job).contains(&at)));
 }
+
+#[test]
+fn engines_that_lose_a_third_of_their_answers_all_stay_in_use() {
+    let mut deployment = plain();
+    deployment.budget = Some(PushBudget { spare: 2.0, share: 0.2, window: 10.0 });
+    let mut world = World::new(deployment, 4);
+    let mut used = vec![0; 4];
+    for step in 0..240 {
+        let job = world.job(step % 2, |taken| taken.table_group = step as u64 % 12);
+        world.pass(0.05);
+        let Some(&at) = world.engines_of(job).last() else { continue };
+        used[at] += usize::from(step > 120);
+        let ending = if step % 3 == 0 { Ending::Broken } else { Ending::Delivered };
+        world.over(job, ending, 0.1);
+        if ending == Ending::Broken {
+            world.gateway.job_withdrawn(job);
+        }
+    }
+    assert!(used.iter().all(|&count| count > 5), "{used:?}");
+}
+
+#[test]
+fn what_came_and_passed_while_we_had_no_turn_is_handled_at_once() {
+    let mut world = World::new(plain(), 2);
+    let passed = world.job(1, |taken| taken.cut_off -= 9.0);
+    world.round();
+    world.now += 2.0;
+    let draining = Listing { stage: Stage::Draining, ..listing(0) };
+    let new: Vec<usize> = (0..6).map(|group| world.job(0, |taken| taken.table_group = group)).collect();
+    world.gateway.engines_listed(world.now, &[draining], false);
+    world.round();
+    assert_eq!(world.answers(passed).len(), 1);
+    assert!(new.iter().all(|&job| world.engines_of(job) == [1]));
+}
