--- a/src/logic.rs
+++ b/src/logic.rs
@@ -44,9 +44,9 @@
         (self.sum, self.weight) = (self.sum * keep, self.weight * keep);
     }
 
-    /// With a belief that counts as much as one value.
-    fn with(&self, belief: f64) -> f64 {
-        (self.sum + belief) / (self.weight + 1.0)
+    /// With a belief added, as a sum of values and what they weigh.
+    fn with(&self, sum: f64, weight: f64) -> f64 {
+        (self.sum + sum) / (self.weight + weight)
     }
 }
 
@@ -194,7 +194,7 @@
     /// What is granted over the guess, so that few jobs outgrow it and spill: a little memory more costs less
     /// than their work done over. By the scatter seen, and at first as if it were large.
     fn headroom(&self) -> f64 {
-        (1.7 * (self.scatter.sum + 1.2) / (self.scatter.weight + 3.0)).exp().min(1.6)
+        (1.7 * self.scatter.with(1.2, 3.0)).exp().min(1.6)
     }
 
     fn guess(&self, estimate: Option<f64>, mean: f64) -> f64 {
@@ -254,7 +254,7 @@
     }
 
     fn mean(&self) -> f64 {
-        (2.0 + self.good.sum) / (2.1 + self.good.weight)
+        self.good.with(2.0, 2.1)
     }
 
     /// A draw from the posterior, by its mean and spread.
@@ -604,7 +604,6 @@
             engine.ledger.granted = (engine.ledger.granted - push.grant).max(0.0);
             engine.ledger.open -= 1;
         }
-        self.forget_if_done(id);
     }
 
     pub fn round(&mut self, now: f64, out: &mut dyn Writer) {
@@ -649,7 +648,7 @@
         // Where nothing tells, peers hold what they do elsewhere; at first as much as we, at most the usual.
         let sum = |of: fn(&EngineState) -> f64| self.ready().map(of).sum::<f64>();
         let ours = sum(|engine| engine.threads) / sum(|engine| engine.cores).max(1.0);
-        self.belief = self.crowd.with(((self.given.gateways - 1.0) * ours).min(Room::USUAL));
+        self.belief = self.crowd.with(((self.given.gateways - 1.0) * ours).min(Room::USUAL), 1.0);
         self.crowd.fade(Room::KEEP_OF_ALL);
         for (id, engine) in self.engines.iter_mut().enumerate() {
             engine.ledger.tick(now);
@@ -658,9 +657,9 @@
             engine.doubt.good.fade(Doubt::KEEP);
             self.draws += 1;
             engine.doubt.draw((mix((self.seed, self.draws)) >> 11) as f64 / (1u64 << 53) as f64);
-            let used = engine.threads / engine.cores.max(1.0) + engine.room.peers.with(self.belief);
+            let used = engine.threads / engine.cores.max(1.0) + engine.room.peers.with(self.belief, 1.0);
             engine.pace.fade(Room::KEEP_OF_ALL);
-            engine.room.tick(engine.pace.with(1.5), used);
+            engine.room.tick(engine.pace.with(1.5, 1.0), used);
             let doubted = engine.doubt.mean() < Doubt::TRUST;
             if std::mem::replace(&mut engine.doubt.doubted, doubted) != doubted {
                 let word = if doubted { "doubted" } else { "trusted" };
@@ -751,7 +750,8 @@
         // Among many gateways ours are mostly none: those of our peers decide then, and chance after them.
         self.draws += 1;
         let key = |at: &&usize| {
-            let threads = [engine(at).threads / engine(at).cores, engine(at).room.peers.with(self.belief)];
+            let threads =
+                [engine(at).threads / engine(at).cores, engine(at).room.peers.with(self.belief, 1.0)];
             (threads.map(rank), mix((self.seed, self.draws, at)))
         };
         let fitting = open.iter().filter(|at| engine(at).ledger.fits(grant, now)).take(few);
@@ -773,7 +773,7 @@
 
     fn has_room(&self, id: usize, at: usize, light: bool) -> bool {
         let engine = &self.engines[at];
-        let peers = engine.room.peers.with(self.belief).max(0.0);
+        let peers = engine.room.peers.with(self.belief, 1.0).max(0.0);
         let threads = self.given.categories[self.jobs[&id].taken.category].threads;
         // Light jobs may pass the heavy ones that fill an engine: by more where they cannot make it page.
         let passing = if self.given.pages { 1.5 } else { 2.0 };
@@ -889,7 +889,7 @@
             engine.sent.iter().filter(|(at, _)| *at > now - cold.window).map(|(_, work)| work).sum::<f64>();
         let share = stands / self.given.gateways;
         // Among many gateways no job fits a share: each draws once a window, likelier for smaller jobs,
-        // so that all together send about a seventh of what the engine stands, in jobs well below that.
+        // so that all together send about LOT of what the engine stands, in jobs of a quarter at most.
         let drawn =
             mix((self.seed, engine.at.name_hash, (now / cold.window) as u64)) as f64 / u64::MAX as f64;
         let lot = if sent == 0.0 { (LOT * share / drawn).min(stands / 4.0) } else { 0.0 };
