--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -1,10 +1,10 @@
 //! The instances of one process: each event becomes a call of its decisions, each decision a line.
 
-use crate::start::{self, Names};
-use crate::wire::{micros, seconds, Complaint, Fields};
+use crate::wire::{micros, seconds, Fields};
 use base64::{engine::general_purpose::STANDARD, Engine as _};
 use cleatgw::logic::Gateway;
 use cleatgw::{Ending, Listing, Load, Note, PushEnd, Stage, Taken, Writer};
+use cleatgw_start::{self as start, name_hash, Complaint, Names, Pairs};
 use std::collections::HashMap;
 use std::fmt::Write as _;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -221,7 +221,9 @@
         match message {
             "BEGIN" => {
                 let seed = fields.whole("entropy")?;
-                let (deployment, names) = start::read(fields.remainder())?;
+                let read = start::read(&Pairs::from_words(fields.remainder()));
+                let (deployment, names) =
+                    read.map_err(|Complaint(words)| Complaint(format!("BEGIN: {words}")))?;
                 let gateway = Gateway::new(deployment, seed, self.now);
                 let instance = Instance { gateway, names, ids: Ids::default() };
                 self.instances.insert(name.to_string(), instance);
@@ -328,12 +330,6 @@
     })
 }
 
-/// The same at every gateway and in every build: FNV-1a.
-fn name_hash(text: &str) -> u64 {
-    text.bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
-}
-
 impl Instance {
     fn event(
         &mut self,
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -1,7 +1,6 @@
 //! The simulator's wire on standard input and output, cleatgw's decisions between them.
 
 mod host;
-mod start;
 mod wire;
 
 use std::io::{self, BufRead, Write};
--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -1,8 +1,6 @@
 //! Reading the wire's lines: fields by name, with a plain complaint naming line, field and expectation.
 
-/// What was wrong with the input, in words for a person.
-#[derive(Debug, PartialEq)]
-pub struct Complaint(pub String);
+use cleatgw_start::Complaint;
 
 /// One line, taken apart from left to right.
 pub struct Fields<'a> {
--- /dev/null
+++ b/crates/router/src/main.rs
@@ -0,0 +1,96 @@
+//! cleatgw: the query gateway on sockets.
+
+mod config;
+mod protocol;
+mod routing;
+mod transport;
+
+use bpaf::{construct, long, positional, pure, OptionParser, Parser};
+use routing::{News, Routing};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+const CONFIG: &str = "BALANCER_CONFIG";
+
+#[derive(Clone, Debug)]
+enum Command {
+    Serve { config: Option<PathBuf> },
+    Check { config: Option<PathBuf> },
+    Version,
+}
+
+fn options() -> OptionParser<Command> {
+    let config =
+        long("config").short('c').help("The configuration; without it, the file that BALANCER_CONFIG names");
+    let config = config.argument("FILE").optional();
+    let serve = construct!(Command::Serve { config });
+    let serve = serve.to_options().descr("Serves clients until SIGTERM").command("serve");
+    let config = positional("FILE").help("The configuration").optional();
+    let check = construct!(Command::Check { config });
+    let check = check
+        .to_options()
+        .descr("Reads a configuration and says what it holds, or what is wrong")
+        .command("check");
+    let version = pure(Command::Version).to_options().descr("Prints the version").command("version");
+    let none = pure(Command::Serve { config: None });
+    construct!([serve, check, version, none])
+        .to_options()
+        .descr("A query gateway: decides what runs, where, and with how much memory")
+}
+
+fn told(config: Option<PathBuf>) -> Result<config::Told, String> {
+    let path = config.or_else(|| std::env::var_os(CONFIG).map(PathBuf::from));
+    let path = path.ok_or(format!("no configuration: give --config FILE or set {CONFIG}"))?;
+    let text = std::fs::read_to_string(&path).map_err(|error| format!("{}: {error}", path.display()))?;
+    config::read(&text).map_err(|complaint| format!("{}: {}", path.display(), complaint.0))
+}
+
+fn serve(config: Option<PathBuf>) -> Result<(), String> {
+    let told = told(config)?;
+    log::info!("{} listens on {}", told.name, told.place.listen);
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let now = now.map_or(0.0, |since| since.as_secs_f64());
+    let routing = Routing::new(told.deployment, told.names, told.seed, now);
+    let news = News { lists: told.known, ..News::default() };
+    let listen = told.place.listen;
+    let counters =
+        transport::serve(told.place, routing, news).map_err(|error| format!("{listen}: {error}"))?;
+    log::info!("counters: {counters}");
+    Ok(())
+}
+
+fn check(config: Option<PathBuf>) -> Result<(), String> {
+    let told = told(config)?;
+    let engines: usize =
+        told.known.iter().filter_map(|event| event.list.as_ref()).map(|(_, list)| list.len()).sum();
+    println!(
+        "{}: listens on {}, {} categories ({}), {} gateways, {} engines told of in {} events",
+        told.name,
+        told.place.listen,
+        told.names.categories.len(),
+        told.names.categories.join(" "),
+        told.deployment.gateways,
+        engines,
+        told.known.len()
+    );
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let done = match options().run() {
+        Command::Serve { config } => serve(config),
+        Command::Check { config } => check(config),
+        Command::Version => {
+            println!("cleatgw {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(words) => {
+            eprintln!("cleatgw: {words}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/protocol/statement.rs
@@ -0,0 +1,328 @@
+//! Statements: the fields comment ahead of a job, its table group, and what drivers send beside jobs.
+
+use std::collections::HashSet;
+
+/// What a statement asks for.
+#[derive(Debug, PartialEq)]
+pub enum Asked {
+    Job(Request),
+    /// Withdraws what a session has open; the session too is to end where not only the query is meant.
+    Kill {
+        session: u32,
+        query_only: bool,
+    },
+    /// Answered with OK: there is no state that it could change.
+    Harmless,
+    /// One row of values that a driver wants to know, by the names it gives them.
+    Values(Vec<(String, Value)>),
+    /// A result without rows.
+    Nothing,
+}
+
+/// A value that is known to the gateway, or stands for itself.
+#[derive(Debug, PartialEq)]
+pub enum Value {
+    Text(String),
+    SessionId,
+}
+
+/// A job as its client asks for it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Request {
+    pub id: String,
+    pub category: String,
+    /// How long the client waits, in seconds.
+    pub patience: f64,
+    pub receipt: Option<String>,
+    pub work: Option<f64>,
+    pub memory_mb: Option<f64>,
+    pub table_group: Option<u64>,
+    /// Without the comment that holds the fields.
+    pub statement: Vec<u8>,
+}
+
+/// Reads a statement, or says why nothing can be made of it.
+pub fn read(statement: &[u8]) -> Result<Asked, String> {
+    if let Some((fields, rest)) = fields_comment(statement) {
+        return request(fields, rest).map(Asked::Job);
+    }
+    let tokens = tokens(statement);
+    let word = |at: usize| tokens.get(at).map_or("", |token| token.word());
+    let is = |at: usize, wanted: &str| word(at).eq_ignore_ascii_case(wanted);
+    match word(0).to_ascii_uppercase().as_str() {
+        "KILL" => {
+            let at = if is(1, "QUERY") || is(1, "CONNECTION") { 2 } else { 1 };
+            let session = word(at).parse().map_err(|_| "KILL: expected a connection id".to_string())?;
+            Ok(Asked::Kill { session, query_only: is(1, "QUERY") })
+        }
+        "SET" | "USE" | "BEGIN" | "START" | "COMMIT" | "ROLLBACK" => Ok(Asked::Harmless),
+        "SHOW" => Ok(Asked::Nothing),
+        "SELECT" => values(&tokens[1..]).map(Asked::Values).ok_or_else(|| {
+            "no fields comment ahead of the statement: a job needs op, call and ttl there".to_string()
+        }),
+        "" => Err("the statement is empty".to_string()),
+        _ => Err("no fields comment ahead of the statement: a job needs op, call and ttl there".to_string()),
+    }
+}
+
+/// The inside of a comment that holds fields, and what follows it.
+fn fields_comment(statement: &[u8]) -> Option<(&str, &[u8])> {
+    let inside = statement.trim_ascii_start().strip_prefix(b"/*")?;
+    let end = inside.windows(2).position(|pair| pair == b"*/")?;
+    let fields = std::str::from_utf8(&inside[..end]).ok()?;
+    // The blank that parts them belongs to the comment.
+    let rest = &inside[end + 2..];
+    let known = ["op", "call", "ttl"];
+    let names = fields.split(',').filter_map(|field| field.split_once('='));
+    names
+        .clone()
+        .any(|(name, _)| known.contains(&name.trim()))
+        .then_some((fields, rest.strip_prefix(b" ").unwrap_or(rest)))
+}
+
+fn request(fields: &str, statement: &[u8]) -> Result<Request, String> {
+    let field = |name: &str| {
+        let pairs = fields.split(',').filter_map(|pair| pair.split_once('='));
+        pairs
+            .map(|(key, value)| (key.trim(), value.trim()))
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| value)
+    };
+    let number =
+        |name: &str| field(name)?.parse::<f64>().ok().filter(|value| value.is_finite() && *value > 0.0);
+    let plain = |text: &&str| {
+        (1..=64).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_graphic() && byte != b'=')
+    };
+    let hex = |text: &&str| text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    let need = |name: &str, what: &str| {
+        format!("field {name}: expected {what}, got \"{}\"", field(name).unwrap_or(""))
+    };
+    Ok(Request {
+        id: field("call").filter(hex).ok_or_else(|| need("call", "16 hex digits"))?.to_string(),
+        category: field("op").filter(plain).ok_or_else(|| need("op", "a category"))?.to_string(),
+        patience: number("ttl").ok_or_else(|| need("ttl", "milliseconds"))? / 1e3,
+        receipt: field("dedupe").filter(plain).map(str::to_string),
+        work: number("work").map(|ms| ms / 1e3),
+        memory_mb: number("mb"),
+        table_group: table_group(statement),
+        statement: statement.to_vec(),
+    })
+}
+
+/// A piece of a statement; comments and blanks are none.
+#[derive(Debug, PartialEq)]
+enum Token<'a> {
+    Word(&'a str),
+    /// A name in back quotes.
+    Quoted(&'a str),
+    Text(&'a str),
+    Sign(u8),
+}
+
+impl<'a> Token<'a> {
+    fn word(&self) -> &'a str {
+        match self {
+            Token::Word(word) => word,
+            _ => "",
+        }
+    }
+
+    fn name(&self) -> Option<&'a str> {
+        match self {
+            Token::Word(name) | Token::Quoted(name) => Some(name),
+            _ => None,
+        }
+    }
+
+    fn is(&self, word: &str) -> bool {
+        self.word().eq_ignore_ascii_case(word)
+    }
+}
+
+/// Where a quoted piece that begins at `at` ends: behind its closing quote, or with the statement.
+fn quoted_end(text: &[u8], at: usize) -> usize {
+    let quote = text[at];
+    let mut next = at + 1;
+    while next < text.len() {
+        match text[next] {
+            b'\\' if quote != b'`' => next += 1,
+            byte if byte == quote && text.get(next + 1) == Some(&quote) => next += 1,
+            byte if byte == quote => return next + 1,
+            _ => {}
+        }
+        next += 1;
+    }
+    text.len()
+}
+
+fn find(text: &[u8], from: usize, what: &[u8]) -> usize {
+    let rest = text.get(from..).unwrap_or(b"");
+    rest.windows(what.len()).position(|part| part == what).map_or(text.len(), |at| from + at + what.len())
+}
+
+fn tokens(text: &[u8]) -> Vec<Token<'_>> {
+    let part = |from: usize, to: usize| std::str::from_utf8(text.get(from..to).unwrap_or(b"")).unwrap_or("");
+    let in_word = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'_' | b'$' | 0x80..);
+    let mut tokens = Vec::new();
+    let mut at = 0;
+    while let Some(&byte) = text.get(at) {
+        let next = text.get(at + 1).copied();
+        let end = match byte {
+            b' ' | b'\t' | b'\r' | b'\n' | 0x0b | 0x0c => at + 1,
+            b'#' => find(text, at, b"\n"),
+            b'-' if next == Some(b'-') && text.get(at + 2).is_none_or(|byte| byte.is_ascii_whitespace()) => {
+                find(text, at, b"\n")
+            }
+            // What MySQL runs although it stands in a comment is a part of the statement.
+            b'/' if next == Some(b'*') && text.get(at + 2) == Some(&b'!') => {
+                let digits = text[at + 3..].iter().take_while(|byte| byte.is_ascii_digit()).count();
+                at + 3 + digits
+            }
+            b'*' if next == Some(b'/') => at + 2,
+            b'/' if next == Some(b'*') => find(text, at + 2, b"*/"),
+            b'\'' | b'"' | b'`' => {
+                let end = quoted_end(text, at);
+                let inside = part(at + 1, (end - 1).max(at + 1));
+                tokens.push(if byte == b'`' { Token::Quoted(inside) } else { Token::Text(inside) });
+                end
+            }
+            _ if in_word(byte) => {
+                let end = at + text[at..].iter().take_while(|&&byte| in_word(byte)).count();
+                tokens.push(Token::Word(part(at, end)));
+                end
+            }
+            sign => {
+                tokens.push(Token::Sign(sign));
+                at + 1
+            }
+        };
+        at = end;
+    }
+    tokens
+}
+
+/// The group of tables in a schema's name: the number behind its last underscore.
+fn group_of(schema: &str) -> Option<u64> {
+    let (name, digits) = schema.rsplit_once('_')?;
+    let digital = !name.is_empty() && digits.bytes().all(|byte| byte.is_ascii_digit());
+    digits.parse().ok().filter(|_| digital)
+}
+
+/// The table group that a statement reads or writes, by the schemas that stand where tables do.
+fn table_group(statement: &[u8]) -> Option<u64> {
+    let tokens = tokens(statement);
+    let sign = |at: usize, sign: u8| tokens.get(at) == Some(&Token::Sign(sign));
+    let qualified = |at: usize| {
+        let schema =
+            tokens.get(at)?.name().filter(|_| sign(at + 1, b'.') && (at == 0 || !sign(at - 1, b'.')))?;
+        tokens.get(at + 2)?.name().map(|_| schema)
+    };
+    // In each open parenthesis: whether it holds a query, and whether tables are listed there just now.
+    let mut open = vec![(true, false)];
+    let (mut tables, mut names, mut aliases) = (Vec::new(), Vec::new(), HashSet::new());
+    let mut at = 0;
+    while at < tokens.len() {
+        let depth = open.len() - 1;
+        let (in_query, lists) = open[depth];
+        match &tokens[at] {
+            Token::Sign(b'(') => {
+                let query =
+                    ["SELECT", "WITH"].iter().any(|word| tokens.get(at + 1).is_some_and(|t| t.is(word)));
+                let table = lists && at > 0 && place_of_table(&tokens[at - 1], lists);
+                open.push((query || table, table && !query));
+                if table && !query && qualified(at + 1).is_some() {
+                    tables.push(at + 1);
+                }
+            }
+            Token::Sign(b')') if depth > 0 => drop(open.pop()),
+            token => {
+                let ends = [
+                    "WHERE", "GROUP", "ORDER", "HAVING", "LIMIT", "SET", "VALUES", "UNION", "SELECT", "ON",
+                    "USING",
+                ];
+                let begins = ["FROM", "JOIN", "INTO", "UPDATE", "TABLE"];
+                if in_query && begins.iter().any(|word| token.is(word)) {
+                    open[depth].1 = true;
+                } else if ends.iter().any(|word| token.is(word)) {
+                    open[depth].1 = false;
+                }
+                if place_of_table(token, open[depth].1) && in_query && qualified(at + 1).is_some() {
+                    tables.push(at + 1);
+                    let behind = at + 4;
+                    let alias = if tokens.get(behind).is_some_and(|token| token.is("AS")) {
+                        behind + 1
+                    } else {
+                        behind
+                    };
+                    aliases.extend(tokens.get(alias).and_then(Token::name));
+                }
+            }
+        }
+        names.extend(qualified(at).map(|_| at));
+        at += 1;
+    }
+    let named = |at: &usize| qualified(*at).filter(|schema| !schema.eq_ignore_ascii_case("staging"));
+    let placed = tables.iter().filter_map(named).find_map(group_of);
+    placed
+        .or_else(|| names.iter().filter_map(named).filter(|name| !aliases.contains(name)).find_map(group_of))
+}
+
+/// Whether a table may stand behind this token.
+fn place_of_table(token: &Token, lists: bool) -> bool {
+    let words =
+        ["FROM", "JOIN", "INTO", "UPDATE", "TABLE", "STRAIGHT_JOIN", "IGNORE", "LOW_PRIORITY", "ONLY"];
+    lists && (words.iter().any(|word| token.is(word)) || matches!(token, Token::Sign(b',' | b'(')))
+}
+
+/// What a driver's `SELECT` of variables and the like asks for; nothing, where it reads tables.
+fn values(tokens: &[Token]) -> Option<Vec<(String, Value)>> {
+    let end = tokens.iter().position(|token| token.is("LIMIT") || *token == Token::Sign(b';'));
+    let items = tokens[..end.unwrap_or(tokens.len())].split(|token| *token == Token::Sign(b','));
+    items
+        .map(|item| {
+            let alias = item.iter().position(|token| token.is("AS"));
+            let (item, alias) = item.split_at(alias.unwrap_or(item.len()));
+            let (name, value) = match item {
+                [Token::Sign(b'@'), Token::Sign(b'@'), scope @ .., name] => {
+                    let scoped = matches!(scope, [] | [Token::Word(_), Token::Sign(b'.')]);
+                    let name = name.name().filter(|_| scoped)?;
+                    (format!("@@{name}"), Value::Text(variable(name).to_string()))
+                }
+                [Token::Word(name), Token::Sign(b'('), Token::Sign(b')')] => {
+                    let value = match name.to_ascii_lowercase().as_str() {
+                        "connection_id" => Value::SessionId,
+                        "version" => Value::Text(super::mysql::VERSION.to_string()),
+                        "database" | "schema" | "user" | "current_user" => Value::Text(String::new()),
+                        _ => return None,
+                    };
+                    (format!("{name}()"), value)
+                }
+                [Token::Word(number)] if number.bytes().all(|byte| byte.is_ascii_digit()) => {
+                    (number.to_string(), Value::Text(number.to_string()))
+                }
+                [Token::Text(text)] => (text.to_string(), Value::Text(text.to_string())),
+                _ => return None,
+            };
+            let alias = alias.get(1).and_then(Token::name).map(str::to_string);
+            Some((alias.unwrap_or(name), value))
+        })
+        .collect()
+}
+
+fn variable(name: &str) -> &'static str {
+    let lower = name.to_ascii_lowercase();
+    match lower.as_str() {
+        "version" => super::mysql::VERSION,
+        "version_comment" => "cleatgw",
+        "autocommit" | "auto_increment_increment" => "1",
+        "transaction_isolation" | "tx_isolation" => "REPEATABLE-READ",
+        "time_zone" => "SYSTEM",
+        "system_time_zone" => "UTC",
+        "max_allowed_packet" => "65536",
+        "wait_timeout" | "interactive_timeout" => "28800",
+        "lower_case_table_names" | "transaction_read_only" | "query_cache_size" => "0",
+        _ if lower.starts_with("character_set") => "utf8mb4",
+        _ if lower.starts_with("collation") => "utf8mb4_general_ci",
+        _ => "",
+    }
+}
--- /dev/null
+++ b/crates/router/src/routing/mod.rs
@@ -0,0 +1,516 @@
+//! Names to indices and back, one state for each job and each push: hands a turn's news to the decisions, and
+//! carries out what they write. It decides nothing; it only checks that what it does is legal.
+
+mod counters;
+
+use crate::protocol::board::{Entry, Event};
+use crate::protocol::engine::Ask;
+use crate::protocol::statement::Request;
+use cleatgw::logic::Gateway;
+use cleatgw::{Deployment, Effect, Ending, Listing, Load, PushEnd, Stage, Taken, Writer};
+use cleatgw_start::{flat, index_of, name_hash, Names};
+pub use counters::Counters;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+
+pub type SessionId = u32;
+
+/// One push: its job, and its number among the job's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct PushId {
+    pub job: usize,
+    pub number: u32,
+}
+
+/// What an engine made of a push.
+#[derive(Debug, PartialEq)]
+pub enum Reply {
+    /// The whole result, and the work (seconds) and memory (MB) that it needed.
+    Done {
+        rows: Vec<u8>,
+        told: Option<(f64, f64)>,
+    },
+    /// It had no room, and never began.
+    Full,
+    Erred,
+    /// Its time was over before it began.
+    TooLate,
+}
+
+/// How far a push had come that got no answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Failure {
+    /// It did not leave this router, for the router's own reasons.
+    NeverSent,
+    /// The engine's side did not let it come whole: no connection, or one that ended under it.
+    Refused,
+    /// It went out whole, and may have run.
+    Sent,
+    AnsweredInPart,
+}
+
+pub type Outcome = Result<Reply, Failure>;
+
+/// The final answer to a job.
+#[derive(Debug, PartialEq)]
+pub enum Answer {
+    Delivered(Vec<u8>),
+    TurnedBack {
+        come_back_in: Option<f64>,
+    },
+    Terminated,
+    /// None is owed: the client gave the job up.
+    Withdrawn,
+}
+
+/// What routing asks of the connections.
+pub trait Peers {
+    fn answer(&mut self, session: SessionId, answer: Answer);
+    fn push(&mut self, push: PushId, engine: usize, address: SocketAddr, ask: &Ask);
+    fn change_lane(&mut self, push: PushId, lane: u8);
+    /// Gives a push up, and tells how far it had come.
+    fn give_up(&mut self, push: PushId) -> Failure;
+    /// Closes the connections to an engine that carry nothing.
+    fn close_idle(&mut self, engine: usize);
+}
+
+struct Engine {
+    address: SocketAddr,
+    listing: Listing,
+}
+
+enum PushState {
+    Out { engine: usize, sent: f64, until: f64 },
+    Over,
+}
+
+enum JobState {
+    Open { session: SessionId },
+    Over,
+}
+
+struct Job {
+    request: Request,
+    state: JobState,
+    cut_off: f64,
+    lane: u8,
+    grant_mb: f64,
+    pushes: Vec<PushState>,
+}
+
+/// All that the decisions' words are carried out on.
+#[derive(Default)]
+struct Desk {
+    now: f64,
+    engines: Vec<Engine>,
+    jobs: HashMap<usize, Job>,
+    job_of: HashMap<SessionId, usize>,
+    /// When each push that is out has waited long enough.
+    due: BTreeSet<(u64, PushId)>,
+    /// Ends brought about by decisions: news of the next turn.
+    later: Vec<(PushId, Ending)>,
+    wake: f64,
+    call_off: bool,
+    most_pushes: u32,
+    copies: bool,
+    counters: Counters,
+}
+
+pub struct Routing {
+    gateway: Gateway,
+    deployment: Deployment,
+    names: Names,
+    seed: u64,
+    desk: Desk,
+    engine_of: HashMap<String, usize>,
+    next_job: usize,
+    stops_at: Option<f64>,
+    listed: bool,
+}
+
+fn order(time: f64) -> u64 {
+    time.max(0.0).to_bits()
+}
+
+fn ending(outcome: &Outcome) -> Ending {
+    match outcome {
+        Ok(Reply::Done { .. }) => Ending::Delivered,
+        Ok(Reply::Full) => Ending::Full,
+        Ok(Reply::Erred) => Ending::Erred,
+        Ok(Reply::TooLate) | Err(Failure::NeverSent) => Ending::NeverSent,
+        Err(Failure::Refused) => Ending::Unreached,
+        Err(Failure::Sent | Failure::AnsweredInPart) => Ending::Broken,
+    }
+}
+
+impl Desk {
+    /// Closes a push's state; tells its engine and how long it was out.
+    fn push_over(&mut self, push: PushId, ending: Ending) -> Option<(usize, f64)> {
+        let job = self.jobs.get_mut(&push.job)?;
+        let state = job.pushes.get_mut(push.number as usize)?;
+        let PushState::Out { engine, sent, until } = *state else { return None };
+        *state = PushState::Over;
+        self.due.remove(&(order(until), push));
+        let counters = &mut self.counters;
+        *match ending {
+            Ending::Delivered => &mut counters.pushes_delivered,
+            Ending::Erred => &mut counters.pushes_erred,
+            Ending::Full => &mut counters.pushes_full,
+            Ending::TimedOut => &mut counters.pushes_timed_out,
+            Ending::Unreached => &mut counters.pushes_unreached,
+            Ending::Broken => &mut counters.pushes_broken,
+            Ending::CalledOff => &mut counters.pushes_called_off,
+            Ending::NeverSent => &mut counters.pushes_never_sent,
+        } += 1;
+        Some((engine, (self.now - sent).max(0.0)))
+    }
+
+    /// Gives a push up: what never left is reported so, whatever it was given up for.
+    fn give_up(&mut self, push: PushId, ending: Ending, peers: &mut dyn Peers) -> Ending {
+        match peers.give_up(push) {
+            Failure::NeverSent | Failure::Refused => Ending::Unreached,
+            Failure::Sent | Failure::AnsweredInPart => ending,
+        }
+    }
+
+    fn pushes_out(&self, job: usize) -> Vec<PushId> {
+        let pushes = self.jobs.get(&job).map_or(&[][..], |job| &job.pushes);
+        let out = pushes.iter().enumerate().filter(|(_, push)| matches!(push, PushState::Out { .. }));
+        out.map(|(number, _)| PushId { job, number: number as u32 }).collect()
+    }
+
+    /// A job's one final answer.
+    fn answer(&mut self, id: usize, answer: Answer, peers: &mut dyn Peers) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let JobState::Open { session } = std::mem::replace(&mut job.state, JobState::Over) else { return };
+        let counters = &mut self.counters;
+        *match answer {
+            Answer::Delivered(_) => &mut counters.delivered,
+            Answer::TurnedBack { .. } => &mut counters.turned_back,
+            Answer::Terminated => &mut counters.terminated,
+            Answer::Withdrawn => &mut counters.withdrawn,
+        } += 1;
+        self.job_of.remove(&session);
+        peers.answer(session, answer);
+        self.forget_if_done(id);
+    }
+
+    fn forget_if_done(&mut self, id: usize) {
+        let over = self.jobs.get(&id).is_some_and(|job| matches!(job.state, JobState::Over));
+        if over && self.pushes_out(id).is_empty() {
+            self.jobs.remove(&id);
+        }
+    }
+}
+
+/// Carries out one round's decisions as they are written.
+struct Pen<'a> {
+    desk: &'a mut Desk,
+    peers: &'a mut dyn Peers,
+}
+
+impl Pen<'_> {
+    /// Nothing more is done for a job that has its answer.
+    fn end(&mut self, id: usize, answer: Answer) {
+        for push in self.desk.pushes_out(id) {
+            let ending = self.desk.give_up(push, Ending::CalledOff, self.peers);
+            self.desk.later.push((push, ending));
+        }
+        self.desk.answer(id, answer, self.peers);
+    }
+}
+
+impl Writer for Pen<'_> {
+    fn terms(&mut self, job: usize, lane: u8, memory_mb: f64) {
+        let out = self.desk.pushes_out(job);
+        let Some(job) = self.desk.jobs.get_mut(&job) else { return };
+        job.grant_mb = memory_mb;
+        if std::mem::replace(&mut job.lane, lane) != lane {
+            out.into_iter().for_each(|push| self.peers.change_lane(push, lane));
+        }
+    }
+
+    fn push(&mut self, id: usize, at: usize, time_out: Option<f64>) {
+        let desk = &mut *self.desk;
+        let (Some(job), Some(engine)) = (desk.jobs.get(&id), desk.engines.get(at)) else {
+            return log::error!("a push of an unknown job or to an unknown engine: {id} to {at}");
+        };
+        let open = matches!(job.state, JobState::Open { .. }) && job.cut_off > desk.now;
+        let another = (desk.copies || desk.pushes_out(id).is_empty())
+            && (job.pushes.len() as u32) < desk.most_pushes.max(1);
+        let push = PushId { job: id, number: job.pushes.len() as u32 };
+        let until = time_out.map_or(job.cut_off, |wait| job.cut_off.min(desk.now + wait));
+        let legal = open && another && engine.listing.stage == Stage::Ready;
+        if legal {
+            let ask = Ask {
+                id: &job.request.id,
+                category: &job.request.category,
+                wait: until - desk.now,
+                receipt: job.request.receipt.as_deref(),
+                grant_mb: job.grant_mb,
+                lane: job.lane,
+                statement: &job.request.statement,
+            };
+            self.peers.push(push, at, engine.address, &ask);
+            desk.counters.pushes += 1;
+            desk.due.insert((order(until), push));
+        } else {
+            log::error!("a push that is not legal was not made: job {id} to engine {at}");
+            desk.later.push((push, Ending::NeverSent));
+        }
+        let job = desk.jobs.get_mut(&id).expect("just seen");
+        job.pushes.push(PushState::Out { engine: at, sent: desk.now, until });
+    }
+
+    fn call_off(&mut self, job: usize, number: u32) {
+        let push = PushId { job, number };
+        if self.desk.call_off && self.desk.pushes_out(job).contains(&push) {
+            let ending = self.desk.give_up(push, Ending::CalledOff, self.peers);
+            self.desk.later.push((push, ending));
+        }
+    }
+
+    fn turn_back(&mut self, job: usize, come_back_in: Option<f64>) {
+        self.end(job, Answer::TurnedBack { come_back_in });
+    }
+
+    fn terminate(&mut self, job: usize) {
+        self.end(job, Answer::Terminated);
+    }
+
+    /// The board sends its changes unasked.
+    fn watch(&mut self, _on: bool) {}
+    fn fetch(&mut self) {}
+
+    /// Engines cannot be probed, nor peers told, on this protocol.
+    fn probe(&mut self, _engine: usize) {}
+    fn tell(&mut self, _peer: Option<usize>, _content: &[u8]) {}
+
+    fn close(&mut self, engine: usize) {
+        self.peers.close_idle(engine);
+    }
+
+    fn wake(&mut self, at: f64) {
+        self.desk.wake = at;
+    }
+
+    fn log(&mut self, line: &str) {
+        log::info!("{line}");
+    }
+}
+
+/// All that came in since the last turn, each kind in the order of its coming.
+#[derive(Default)]
+pub struct News {
+    pub lists: Vec<Event>,
+    pub ends: Vec<(PushId, Outcome)>,
+    pub asked: Vec<(SessionId, Request)>,
+    pub withdrawn: Vec<SessionId>,
+}
+
+impl Routing {
+    pub fn new(deployment: Deployment, names: Names, seed: u64, now: f64) -> Routing {
+        let desk = Desk {
+            now,
+            wake: now,
+            call_off: deployment.call_off,
+            most_pushes: deployment.most_pushes,
+            copies: deployment.copies,
+            ..Desk::default()
+        };
+        let gateway = Gateway::new(deployment.clone(), seed, now);
+        Routing {
+            gateway,
+            deployment,
+            names,
+            seed,
+            desk,
+            engine_of: HashMap::new(),
+            next_job: 0,
+            stops_at: None,
+            listed: false,
+        }
+    }
+
+    /// Engines are known: jobs can be served.
+    pub fn ready(&self) -> bool {
+        self.listed
+    }
+
+    pub fn open(&self) -> usize {
+        self.desk.job_of.len()
+    }
+
+    pub fn counters(&mut self) -> &mut Counters {
+        self.desk.counters.open = self.desk.job_of.len() as u64;
+        &mut self.desk.counters
+    }
+
+    /// This instance ends then: no job has longer.
+    pub fn stop_at(&mut self, at: f64) {
+        self.stops_at = Some(at);
+    }
+
+    /// One turn: all news in, one round, and what was decided carried out. Returns what is wrong with jobs that
+    /// could not be taken, and when the next turn is due.
+    pub fn turn(&mut self, now: f64, news: News, peers: &mut dyn Peers) -> (Vec<(SessionId, String)>, f64) {
+        self.desk.now = now;
+        let mut unusable = Vec::new();
+        let done = catch_unwind(AssertUnwindSafe(|| self.decide(news, peers, &mut unusable)));
+        if done.is_err() {
+            self.begin_anew(peers);
+        }
+        let pushes = self.desk.due.first().map_or(f64::INFINITY, |&(at, _)| f64::from_bits(at));
+        let wake = if self.desk.later.is_empty() { self.desk.wake.min(pushes) } else { now };
+        (unusable, wake)
+    }
+
+    fn decide(&mut self, news: News, peers: &mut dyn Peers, unusable: &mut Vec<(SessionId, String)>) {
+        news.lists.into_iter().for_each(|event| self.listed(event));
+        for (push, ending) in std::mem::take(&mut self.desk.later) {
+            self.push_over(push, ending, None, peers);
+        }
+        for (push, outcome) in news.ends {
+            let ending = ending(&outcome);
+            self.push_over(push, ending, outcome.ok(), peers);
+        }
+        while let Some(&(at, push)) = self.desk.due.first().filter(|(at, _)| *at <= order(self.desk.now)) {
+            self.desk.due.remove(&(at, push));
+            let ending = self.desk.give_up(push, Ending::TimedOut, peers);
+            self.push_over(push, ending, None, peers);
+        }
+        for (session, request) in news.asked {
+            if let Err(why) = self.take(session, request) {
+                self.desk.counters.unusable += 1;
+                unusable.push((session, why));
+            }
+        }
+        for session in news.withdrawn {
+            self.withdraw(session, peers);
+        }
+        let mut pen = Pen { desk: &mut self.desk, peers };
+        self.gateway.round(pen.desk.now, &mut pen);
+    }
+
+    fn listed(&mut self, event: Event) {
+        let Some((whole, entries)) = event.list else { return };
+        let listings: Vec<Listing> = entries.into_iter().map(|entry| self.listing(entry)).collect();
+        if whole {
+            self.desk.engines.iter_mut().for_each(|engine| engine.listing.stage = Stage::Gone);
+        }
+        for listing in &listings {
+            self.desk.engines[listing.engine].listing = *listing;
+        }
+        self.listed |= whole;
+        self.gateway.engines_listed(self.desk.now, &listings, whole);
+    }
+
+    fn listing(&mut self, entry: Entry) -> Listing {
+        let known = self.engine_of.get(&entry.uid).copied();
+        let engine = known.unwrap_or(self.desk.engines.len());
+        let listing = Listing {
+            engine,
+            name_hash: name_hash(&entry.uid),
+            zone: index_of(&mut self.names.zones, &entry.zone),
+            kind: index_of(&mut self.names.kinds, &entry.kind),
+            cell: entry.cell,
+            since: entry.since,
+            stage: entry.stage,
+        };
+        if known.is_none() {
+            self.engine_of.insert(entry.uid.clone(), engine);
+            log::info!("engine {engine} is {} at {}", entry.uid, entry.address);
+            self.desk.engines.push(Engine { address: entry.address, listing });
+        }
+        self.desk.engines[engine].address = entry.address;
+        listing
+    }
+
+    fn take(&mut self, session: SessionId, request: Request) -> Result<(), String> {
+        let name = flat(&request.category);
+        let Some(category) = self.names.categories.iter().position(|known| *known == name) else {
+            return Err(format!(
+                "field op: expected one of {}, got \"{name}\"",
+                self.names.categories.join(" ")
+            ));
+        };
+        let receipted = matches!(self.deployment.categories[category].effect, Effect::Receipted { .. });
+        if receipted && request.receipt.is_none() {
+            return Err(format!("field dedupe: expected a mark against repeats, as {name} needs one"));
+        }
+        let now = self.desk.now;
+        let cut_off = (now + request.patience).min(self.stops_at.unwrap_or(f64::INFINITY));
+        let id = self.next_job;
+        self.next_job += 1;
+        let taken = Taken {
+            category,
+            key: None,
+            table_group: request.table_group.map_or(0, |group| (group as f64).to_bits()),
+            cost: request.work,
+            memory_mb: request.memory_mb,
+            cut_off,
+        };
+        let state = JobState::Open { session };
+        let job = Job { request, state, cut_off, lane: 1, grant_mb: 0.0, pushes: Vec::new() };
+        self.desk.jobs.insert(id, job);
+        self.desk.job_of.insert(session, id);
+        self.desk.counters.taken += 1;
+        self.gateway.job_taken(now, id, taken);
+        Ok(())
+    }
+
+    fn push_over(&mut self, push: PushId, ending: Ending, reply: Option<Reply>, peers: &mut dyn Peers) {
+        let Some((engine, spent)) = self.desk.push_over(push, ending) else {
+            self.desk.counters.answers_dropped += 1;
+            return;
+        };
+        let mut told = None;
+        if let Some(Reply::Done { rows, told: needed }) = reply {
+            told = needed;
+            self.desk.answer(push.job, Answer::Delivered(rows), peers);
+        }
+        let job_over = self.desk.jobs.get(&push.job).is_none_or(|job| matches!(job.state, JobState::Over));
+        let load = Load::default();
+        let end = PushEnd { job: push.job, engine, ending, job_over, spent, told, load };
+        self.gateway.push_over(self.desk.now, &end);
+        self.desk.forget_if_done(push.job);
+    }
+
+    /// A client has given its job up, and so is the push that is out for it.
+    fn withdraw(&mut self, session: SessionId, peers: &mut dyn Peers) {
+        let Some(&job) = self.desk.job_of.get(&session) else { return };
+        let out = self.desk.pushes_out(job);
+        self.desk.answer(job, Answer::Withdrawn, peers);
+        self.gateway.job_withdrawn(job);
+        for push in out {
+            let ending = self.desk.give_up(push, Ending::CalledOff, peers);
+            self.push_over(push, ending, None, peers);
+        }
+    }
+
+    /// The decisions failed: what is open is terminated, and they start from the list alone.
+    fn begin_anew(&mut self, peers: &mut dyn Peers) {
+        log::error!(
+            "the decisions failed: {} open jobs are terminated, the gateway begins anew",
+            self.open()
+        );
+        let jobs: Vec<usize> = self.desk.jobs.keys().copied().collect();
+        for id in jobs {
+            for push in self.desk.pushes_out(id) {
+                let ending = self.desk.give_up(push, Ending::CalledOff, peers);
+                self.desk.push_over(push, ending);
+            }
+            self.desk.answer(id, Answer::Terminated, peers);
+        }
+        self.desk.counters.module_panics += 1;
+        self.desk.jobs.clear();
+        self.desk.later.clear();
+        self.desk.due.clear();
+        self.seed = self.seed.wrapping_add(1);
+        self.gateway = Gateway::new(self.deployment.clone(), self.seed, self.desk.now);
+        let listings: Vec<Listing> = self.desk.engines.iter().map(|engine| engine.listing).collect();
+        self.gateway.engines_listed(self.desk.now, &listings, true);
+        self.desk.wake = self.desk.now;
+    }
+}
--- /dev/null
+++ b/crates/router/src/transport/board.rs
@@ -0,0 +1,167 @@
+//! The link to the notice board: connected again whenever it is lost or silent, from the last event held.
+
+use super::buffer::{Buffer, Reached};
+use crate::protocol::board::{self, Event, Line};
+use crate::routing::Counters;
+use calloop::RegistrationToken;
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+/// Each second has a line: after so many without one the link is taken for lost.
+const SILENT: f64 = 2.5;
+const CONNECT: f64 = 1.0;
+const RETRY: f64 = 0.25;
+
+enum State {
+    Down { retry_at: f64 },
+    Connecting { until: f64 },
+    Up { heard_at: f64 },
+}
+
+pub struct BoardLink {
+    address: Option<SocketAddr>,
+    state: State,
+    wire: Option<(RegistrationToken, Rc<TcpStream>)>,
+    buffer: Buffer,
+    longest: usize,
+    readable: bool,
+    /// The last event held.
+    last: u64,
+    /// Events were missed twice: the board is asked for all of them.
+    gap: bool,
+    counters: Counters,
+}
+
+impl BoardLink {
+    pub fn new(address: Option<SocketAddr>, last: u64, longest: usize, now: f64) -> BoardLink {
+        BoardLink {
+            address,
+            state: State::Down { retry_at: now },
+            wire: None,
+            buffer: Buffer::default(),
+            longest,
+            readable: false,
+            last,
+            gap: false,
+            counters: Counters::default(),
+        }
+    }
+
+    pub fn count(&self, counters: &mut Counters) {
+        counters.board_events = self.counters.board_events;
+        counters.board_connects = self.counters.board_connects;
+        counters.board_malformed = self.counters.board_malformed;
+    }
+
+    /// When it must be looked at, whatever comes.
+    pub fn due(&self) -> f64 {
+        match self.state {
+            _ if self.address.is_none() => f64::INFINITY,
+            State::Down { retry_at } => retry_at,
+            State::Connecting { until } => until,
+            State::Up { heard_at } => heard_at + SILENT,
+        }
+    }
+
+    /// The address to connect to, if it is time.
+    pub fn wants_connection(&self, now: f64) -> Option<SocketAddr> {
+        self.address.filter(|_| matches!(self.state, State::Down { retry_at } if now >= retry_at))
+    }
+
+    pub fn connecting(&mut self, wire: Option<(RegistrationToken, Rc<TcpStream>)>, now: f64) {
+        let until = now + if wire.is_some() { CONNECT } else { RETRY };
+        self.state =
+            if wire.is_some() { State::Connecting { until } } else { State::Down { retry_at: until } };
+        (self.wire, self.buffer, self.readable) = (wire, Buffer::default(), false);
+    }
+
+    /// Gives the connection up; its registration is returned to be undone.
+    pub fn lost(&mut self, why: &str, now: f64) -> Option<RegistrationToken> {
+        log::warn!("notice board lost: {why}; the list of event {} stands", self.last);
+        self.state = State::Down { retry_at: now + RETRY };
+        self.wire.take().map(|(token, _)| token)
+    }
+
+    pub fn unfinished(&self) -> bool {
+        self.readable
+    }
+
+    /// Reads what is ready; events that are new go into `events`. An error is why the link is lost.
+    pub fn work(
+        &mut self,
+        readable: bool,
+        writable: bool,
+        now: f64,
+        events: &mut Vec<Event>,
+    ) -> Result<(), String> {
+        let Some((_, stream)) = &self.wire else { return Ok(()) };
+        let stream = stream.clone();
+        self.readable |= readable;
+        let words = |error: io::Error| error.to_string();
+        match self.state {
+            State::Connecting { until } => {
+                if let Some(error) = stream.take_error().map_err(words)? {
+                    return Err(words(error));
+                }
+                if !writable || stream.peer_addr().is_err() {
+                    return if now < until { Ok(()) } else { Err("no connection came up".to_string()) };
+                }
+                log::info!("notice board connected, from event {}", self.last);
+                self.state = State::Up { heard_at: now };
+                self.counters.board_connects += 1;
+                let mut ask = Vec::new();
+                board::watch(&mut ask, self.last);
+                self.buffer.put(&ask);
+            }
+            State::Up { heard_at } if !self.readable && now >= heard_at + SILENT => {
+                return Err("silent".to_string());
+            }
+            _ => {}
+        }
+        self.buffer.write(&*stream).map_err(words)?;
+        if !self.readable {
+            return Ok(());
+        }
+        let reached = self.buffer.read(&*stream, self.longest).map_err(words)?;
+        self.readable = reached == Reached::More;
+        while let Some(end) = self.buffer.input().iter().position(|&byte| byte == b'\n') {
+            self.state = State::Up { heard_at: now };
+            let line = board::line(&self.buffer.input()[..end]);
+            self.buffer.taken(end + 1);
+            let line = line.map_err(|board::Malformed(why)| {
+                self.counters.board_malformed += 1;
+                format!("malformed: {why}")
+            })?;
+            self.heard(line, events)?;
+        }
+        match reached {
+            Reached::End => Err("closed".to_string()),
+            Reached::More if self.buffer.input().len() >= self.longest => {
+                Err("a line without end".to_string())
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn heard(&mut self, line: Line, events: &mut Vec<Event>) -> Result<(), String> {
+        let (number, event) = match line {
+            Line::Last(number) => (number, None),
+            Line::Event(event) => (event.number, Some(event)),
+        };
+        let next = self.last + u64::from(event.is_some());
+        let starts = event.as_ref().is_some_and(|event| matches!(event.list, Some((true, _))));
+        if number > next && !starts {
+            if std::mem::replace(&mut self.gap, true) {
+                (self.last, self.gap) = (0, false);
+            }
+            return Err(format!("event {next} is missing, {number} came"));
+        }
+        if let Some(event) = event.filter(|_| number > self.last) {
+            (self.last, self.gap) = (number, false);
+            self.counters.board_events += 1;
+            events.push(event);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/router/src/transport/buffer.rs
@@ -0,0 +1,128 @@
+//! The one buffer of a connection: what was read and not yet taken apart, and behind it what is still to be
+//! written. It grows as needed, is compacted in place, and gives its memory back when it is empty.
+
+use std::io::{ErrorKind, Read, Result, Write};
+
+const CHUNK: usize = 4096;
+/// An empty buffer larger than this is given back.
+const KEPT: usize = 4 * CHUNK;
+
+#[derive(Default)]
+pub struct Buffer {
+    bytes: Vec<u8>,
+    input: (usize, usize),
+    output: (usize, usize),
+}
+
+/// How far reading came.
+#[derive(Debug, PartialEq)]
+pub enum Reached {
+    /// All that was ready.
+    Drained,
+    /// As much as was allowed; more may be ready.
+    More,
+    /// The peer sends nothing more.
+    End,
+}
+
+impl Buffer {
+    pub fn input(&self) -> &[u8] {
+        &self.bytes[self.input.0..self.input.1]
+    }
+
+    pub fn taken(&mut self, length: usize) {
+        self.input.0 += length;
+        self.release();
+    }
+
+    pub fn unsent(&self) -> usize {
+        self.output.1 - self.output.0
+    }
+
+    fn release(&mut self) {
+        if self.input.0 == self.input.1 && self.unsent() == 0 {
+            (self.input, self.output) = Default::default();
+            if self.bytes.len() > KEPT {
+                self.bytes = Vec::new();
+            }
+        }
+    }
+
+    /// Makes room for so many bytes behind the input, ahead of the output.
+    fn make_room(&mut self, length: usize) {
+        let (read, unsent) = (self.input.1 - self.input.0, self.unsent());
+        let free = if unsent > 0 { self.output.0 } else { self.bytes.len() } - self.input.1;
+        if free >= length {
+            return;
+        }
+        self.bytes.copy_within(self.input.0..self.input.1, 0);
+        self.input = (0, read);
+        let needed = read + length + unsent;
+        if self.bytes.len() < needed {
+            self.bytes.resize(needed.next_power_of_two(), 0);
+        }
+        if unsent > 0 {
+            self.bytes.copy_within(self.output.0..self.output.1, read + length);
+            self.output = (read + length, needed);
+        }
+    }
+
+    /// Reads what is ready until the input holds `most` bytes.
+    pub fn read(&mut self, mut from: impl Read, most: usize) -> Result<Reached> {
+        loop {
+            let left = most.saturating_sub(self.input().len());
+            if left == 0 {
+                return Ok(Reached::More);
+            }
+            let room = left.min(CHUNK);
+            self.make_room(room);
+            match from.read(&mut self.bytes[self.input.1..self.input.1 + room]) {
+                Ok(0) => return Ok(Reached::End),
+                Ok(length) => self.input.1 += length,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    self.release();
+                    return Ok(Reached::Drained);
+                }
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    /// Appends to what is to be written.
+    pub fn put(&mut self, bytes: &[u8]) {
+        if self.unsent() == 0 {
+            self.output = (self.input.1, self.input.1);
+        }
+        if self.bytes.len() - self.output.1 < bytes.len() {
+            // Room at the front is used before the buffer grows.
+            let (read, unsent) = (self.input.1 - self.input.0, self.unsent());
+            self.bytes.copy_within(self.input.0..self.input.1, 0);
+            self.bytes.copy_within(self.output.0..self.output.1, read);
+            (self.input, self.output) = ((0, read), (read, read + unsent));
+            let needed = read + unsent + bytes.len();
+            if self.bytes.len() < needed {
+                self.bytes.resize(needed.next_power_of_two(), 0);
+            }
+        }
+        self.bytes[self.output.1..self.output.1 + bytes.len()].copy_from_slice(bytes);
+        self.output.1 += bytes.len();
+    }
+
+    /// Writes as much as is taken; tells how much.
+    pub fn write(&mut self, mut to: impl Write) -> Result<usize> {
+        let before = self.unsent();
+        while self.unsent() > 0 {
+            match to.write(&self.bytes[self.output.0..self.output.1]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(length) => self.output.0 += length,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        let written = before - self.unsent();
+        self.release();
+        Ok(written)
+    }
+}
--- /dev/null
+++ b/crates/router/src/transport/client.rs
@@ -0,0 +1,331 @@
+//! Client sessions: one request at a time, its answer, and what drivers ask beside.
+
+use super::buffer::{Buffer, Reached};
+use crate::protocol::engine::{columns, rows, COLUMNS};
+use crate::protocol::mysql::{self, Command};
+use crate::protocol::statement::{self, Asked, Request, Value};
+use crate::routing::{Answer, SessionId};
+use calloop::RegistrationToken;
+use std::io;
+use std::net::{Shutdown, TcpStream};
+use std::rc::Rc;
+
+/// How long a client may take to log in, to take a byte of its answer, or to close after its last one.
+const LOGIN: f64 = 10.0;
+const STALLED: f64 = 30.0;
+const CLOSING: f64 = 1.0;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    Login,
+    Idle,
+    /// Its request is open.
+    Waiting,
+    /// It ends once its last answer is written and it has closed its side.
+    Closing,
+    Closed,
+}
+
+/// What a session's bytes ask of the rest of the router.
+pub enum Heard {
+    Asked(Request),
+    Kill { session: SessionId, query_only: bool },
+    Counters,
+}
+
+pub struct Session {
+    pub token: RegistrationToken,
+    id: SessionId,
+    stream: Rc<TcpStream>,
+    buffer: Buffer,
+    scratch: Vec<u8>,
+    state: State,
+    sequence: u8,
+    longest: usize,
+    readable: bool,
+    ended: bool,
+    closes_after: bool,
+    /// When it last did something.
+    pub since: f64,
+}
+
+fn random() -> [u8; 20] {
+    use std::hash::{BuildHasher, RandomState};
+    let mut scramble = [0; 20];
+    for (at, byte) in scramble.iter_mut().enumerate() {
+        *byte = (RandomState::new().hash_one(at) % 94) as u8 + 33;
+    }
+    scramble
+}
+
+impl Session {
+    pub fn new(
+        token: RegistrationToken,
+        id: SessionId,
+        stream: Rc<TcpStream>,
+        longest: usize,
+        now: f64,
+    ) -> Session {
+        let mut session = Session {
+            token,
+            id,
+            stream,
+            buffer: Buffer::default(),
+            scratch: Vec::new(),
+            state: State::Login,
+            sequence: 0,
+            longest,
+            readable: true,
+            ended: false,
+            closes_after: false,
+            since: now,
+        };
+        mysql::greeting(&mut session.scratch, id, random());
+        session.send();
+        session
+    }
+
+    pub fn closed(&self) -> bool {
+        self.state == State::Closed
+    }
+
+    pub fn waiting(&self) -> bool {
+        self.state == State::Waiting
+    }
+
+    /// It may be closed without loss: no request is open on it, and nothing is left to write.
+    pub fn spare(&self) -> bool {
+        matches!(self.state, State::Login | State::Idle | State::Closing) && self.buffer.unsent() == 0
+    }
+
+    pub fn unsent(&self) -> usize {
+        self.buffer.unsent()
+    }
+
+    /// Something is left that no readiness will tell of.
+    pub fn unfinished(&self) -> bool {
+        let reads = !matches!(self.state, State::Waiting | State::Closed) && self.buffer.unsent() == 0;
+        reads
+            && (self.readable
+                || !self.buffer.input().is_empty() && self.state != State::Closing
+                || self.ended)
+    }
+
+    pub fn ready(&mut self, readable: bool, now: f64) {
+        self.readable |= readable;
+        self.since = now;
+    }
+
+    pub fn sweep(&mut self, now: f64) {
+        let waited = now - self.since;
+        let limit = match self.state {
+            State::Login => LOGIN,
+            State::Closing => CLOSING,
+            _ if self.buffer.unsent() > 0 => STALLED,
+            _ => f64::INFINITY,
+        };
+        if waited > limit {
+            self.state = State::Closed;
+        }
+    }
+
+    /// Writes what is left, reads what is ready and takes it apart, up to the next request.
+    pub fn work(&mut self, serving: bool) -> io::Result<Option<Heard>> {
+        self.flush()?;
+        if self.readable && !self.ended {
+            match self.buffer.read(&*self.stream, self.longest + mysql::HEADER)? {
+                Reached::Drained => self.readable = false,
+                Reached::More => {}
+                Reached::End => (self.readable, self.ended) = (false, true),
+            }
+        }
+        let mut heard = None;
+        while heard.is_none() && matches!(self.state, State::Login | State::Idle) && self.buffer.unsent() == 0
+        {
+            let packet = match mysql::packet(self.buffer.input(), self.longest) {
+                Ok(Some(packet)) => packet,
+                Ok(None) => break,
+                Err(bad) => {
+                    self.refuse(bad);
+                    break;
+                }
+            };
+            let (sequence, body) = (packet.sequence, packet.body.to_vec());
+            if !serving && body.first() == Some(&0x0e) && self.state == State::Idle {
+                return Ok(None);
+            }
+            self.buffer.taken(mysql::HEADER + body.len());
+            self.sequence = sequence.wrapping_add(1);
+            let read = match self.state {
+                State::Login if sequence == 1 => self.login(&body).map(|()| None),
+                State::Idle if sequence == 0 => self.command(&body),
+                _ => Err(mysql::Bad { code: mysql::OUT_OF_ORDER, why: "packets out of order" }),
+            };
+            heard = read.unwrap_or_else(|bad| {
+                self.refuse(bad);
+                None
+            });
+            self.flush()?;
+        }
+        if self.state == State::Closing {
+            // What it still sends is not read any more; its end is awaited, so that it can read our last answer.
+            let length = self.buffer.input().len();
+            self.buffer.taken(length);
+        }
+        let done = matches!(self.state, State::Login | State::Idle | State::Closing) && heard.is_none();
+        if self.ended && done && self.buffer.unsent() == 0 {
+            self.state = State::Closed;
+        }
+        Ok(heard)
+    }
+
+    fn refuse(&mut self, bad: mysql::Bad) {
+        log::debug!("session {}: {}", self.id, bad.why);
+        mysql::error(&mut self.scratch, &mut self.sequence, bad.code, bad.why);
+        self.send();
+        self.close_after();
+    }
+
+    /// No more is read; the session ends when its last answer is written.
+    fn close_after(&mut self) {
+        self.state = State::Closing;
+        if self.buffer.unsent() == 0 {
+            let _ = self.stream.shutdown(Shutdown::Write);
+        }
+    }
+
+    fn login(&mut self, body: &[u8]) -> Result<(), mysql::Bad> {
+        let login = mysql::login(body)?;
+        if login.with_password {
+            let words = format!("access denied for {}: it has no password here", login.user);
+            mysql::error(&mut self.scratch, &mut self.sequence, mysql::DENIED, &words);
+            self.send();
+            self.close_after();
+            return Ok(());
+        }
+        mysql::ok(&mut self.scratch, &mut self.sequence);
+        self.state = State::Idle;
+        self.send();
+        Ok(())
+    }
+
+    fn command(&mut self, body: &[u8]) -> Result<Option<Heard>, mysql::Bad> {
+        match mysql::command(body)? {
+            Command::Quit => self.state = State::Closed,
+            Command::Query(text) => return Ok(self.query(text)),
+            Command::Ping | Command::Harmless => self.ok(),
+            Command::SetOption => {
+                mysql::eof(&mut self.scratch, &mut self.sequence);
+                self.send();
+            }
+            Command::Statistics => return Ok(self.wait(Heard::Counters)),
+            Command::Kill(session) => return Ok(self.wait(Heard::Kill { session, query_only: false })),
+            Command::Unknown(number) => {
+                self.error(mysql::NOT_COMMAND, &format!("command {number} is not served"))
+            }
+        }
+        Ok(None)
+    }
+
+    fn query(&mut self, text: &[u8]) -> Option<Heard> {
+        match statement::read(text) {
+            Ok(Asked::Job(request)) => return self.wait(Heard::Asked(request)),
+            Ok(Asked::Kill { session, query_only }) => return self.wait(Heard::Kill { session, query_only }),
+            Ok(Asked::Harmless) => self.ok(),
+            Ok(Asked::Nothing) => self.rows(&["Variable_name".to_string(), "Value".to_string()], &[]),
+            Ok(Asked::Values(values)) => {
+                let (names, values): (Vec<String>, Vec<Value>) = values.into_iter().unzip();
+                let id = self.id;
+                let text = |value| match value {
+                    Value::Text(text) => text,
+                    Value::SessionId => id.to_string(),
+                };
+                self.rows(&names, &values.into_iter().map(text).collect::<Vec<String>>());
+            }
+            Err(why) => self.error(mysql::NOT_UNDERSTOOD, &why),
+        }
+        None
+    }
+
+    fn wait(&mut self, heard: Heard) -> Option<Heard> {
+        self.state = State::Waiting;
+        Some(heard)
+    }
+
+    /// One row, or none where there are no values.
+    fn rows(&mut self, names: &[String], values: &[String]) {
+        let row = (!values.is_empty()).then(|| values.iter().map(String::as_bytes));
+        mysql::result(&mut self.scratch, &mut self.sequence, names, row.into_iter());
+        self.send();
+    }
+
+    /// Answers of the session's own, after which it is idle again.
+    pub fn ok(&mut self) {
+        mysql::ok(&mut self.scratch, &mut self.sequence);
+        self.idle();
+    }
+
+    pub fn error(&mut self, code: mysql::Code, words: &str) {
+        mysql::error(&mut self.scratch, &mut self.sequence, code, words);
+        self.idle();
+    }
+
+    pub fn text(&mut self, words: &str) {
+        mysql::text(&mut self.scratch, &mut self.sequence, words);
+        self.idle();
+    }
+
+    fn idle(&mut self) {
+        self.state = State::Idle;
+        self.send();
+        if self.closes_after {
+            self.close_after();
+        }
+    }
+
+    /// The session itself is killed: it ends with the answer to what it has open.
+    pub fn kill(&mut self) {
+        match self.state {
+            State::Waiting => self.closes_after = true,
+            _ => self.state = State::Closed,
+        }
+    }
+
+    /// The final answer to its request.
+    pub fn answer(&mut self, answer: Answer, now: f64) {
+        self.since = now;
+        match answer {
+            Answer::Delivered(pages) => {
+                let names: Vec<String> = (1..=COLUMNS).map(|at| format!("column_{at}")).collect();
+                mysql::result(&mut self.scratch, &mut self.sequence, &names, rows(&pages).map(columns));
+                self.idle();
+            }
+            Answer::TurnedBack { come_back_in } => {
+                let advice = come_back_in.map(|wait| format!(" pushback={}", (wait * 1e3).ceil() as u64));
+                let words = format!("turned back, trying again is harmless{}", advice.unwrap_or_default());
+                self.error(mysql::TOO_MANY, &words);
+            }
+            Answer::Terminated => self.error(mysql::FAILED, "terminated: the job was not completed"),
+            Answer::Withdrawn => self.error(mysql::INTERRUPTED, "the query was killed"),
+        }
+    }
+
+    fn send(&mut self) {
+        self.buffer.put(&self.scratch);
+        self.scratch = Vec::new();
+        if let Err(error) = self.flush() {
+            log::debug!("session {}: {error}", self.id);
+            self.state = State::Closed;
+        }
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        if self.buffer.unsent() > 0 {
+            self.buffer.write(&*self.stream)?;
+            if self.state == State::Closing && self.buffer.unsent() == 0 {
+                self.stream.shutdown(Shutdown::Write)?;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/router/src/transport/engine.rs
@@ -0,0 +1,292 @@
+//! Connections to engines: many pushes on each, and how far each of them came.
+
+use super::buffer::{Buffer, Reached};
+use crate::protocol::engine::{self, Malformed, Pages, Word};
+use crate::routing::{Failure, Outcome, PushId, Reply};
+use calloop::RegistrationToken;
+use std::collections::{HashMap, HashSet};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::{fmt, io};
+
+const MOST_INPUT: usize = 64 * 1024;
+/// Ids given up on a connection are kept for as long as it lives, as their answers may still come; with so many
+/// of them it takes nothing new.
+const MOST_GIVEN_UP: usize = 1000;
+/// An idle connection is left alone so much of its time before its engine would close it.
+const IDLE_CAUTION: f64 = 0.9;
+
+struct Exchange {
+    push: PushId,
+    /// Where its request ends in all that was put on the connection.
+    end: u64,
+    pages: Option<Pages>,
+}
+
+enum State {
+    Connecting { until: f64 },
+    Up,
+}
+
+pub struct Link {
+    pub token: RegistrationToken,
+    pub engine: usize,
+    pub address: SocketAddr,
+    stream: Rc<TcpStream>,
+    state: State,
+    buffer: Buffer,
+    /// Requests that wait for the connection, none of which has left.
+    waiting: Vec<(String, PushId, Vec<u8>)>,
+    exchanges: HashMap<String, Exchange>,
+    given_up: HashSet<String>,
+    put: u64,
+    written: u64,
+    readable: bool,
+    idle_since: f64,
+    /// Nothing new goes on it.
+    pub retired: bool,
+    pub answers_dropped: u64,
+}
+
+/// Why a connection ends.
+pub enum Broken {
+    Closed,
+    Io(io::Error),
+    Malformed(&'static str),
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Broken::Closed => to.write_str("closed by the engine"),
+            Broken::Io(error) => error.fmt(to),
+            Broken::Malformed(words) => write!(to, "malformed answer: {words}"),
+        }
+    }
+}
+
+impl From<io::Error> for Broken {
+    fn from(error: io::Error) -> Broken {
+        Broken::Io(error)
+    }
+}
+
+impl From<Malformed> for Broken {
+    fn from(Malformed(why): Malformed) -> Broken {
+        Broken::Malformed(why)
+    }
+}
+
+impl Link {
+    pub fn new(
+        token: RegistrationToken,
+        engine: usize,
+        address: SocketAddr,
+        stream: Rc<TcpStream>,
+        until: f64,
+    ) -> Link {
+        Link {
+            token,
+            engine,
+            address,
+            stream,
+            state: State::Connecting { until },
+            buffer: Buffer::default(),
+            waiting: Vec::new(),
+            exchanges: HashMap::new(),
+            given_up: HashSet::new(),
+            put: 0,
+            written: 0,
+            readable: false,
+            idle_since: until,
+            retired: false,
+            answers_dropped: 0,
+        }
+    }
+
+    pub fn carries(&self) -> usize {
+        self.waiting.len() + self.exchanges.len()
+    }
+
+    pub fn up(&self) -> bool {
+        matches!(self.state, State::Up)
+    }
+
+    /// It can take a push under this id: answers to an earlier one under it cannot be mistaken for its own.
+    pub fn takes(&self, id: &str, most: usize, idle_after: f64, now: f64) -> bool {
+        let stale = self.carries() == 0 && now > self.idle_since + idle_after * IDLE_CAUTION;
+        let known = self.given_up.contains(id)
+            || self.exchanges.contains_key(id)
+            || self.waiting.iter().any(|(waiting, ..)| waiting == id);
+        !self.retired && !stale && !known && self.carries() < most && self.given_up.len() < MOST_GIVEN_UP
+    }
+
+    /// When it must be looked at, whatever comes.
+    pub fn due(&self, idle_after: f64) -> f64 {
+        match self.state {
+            State::Connecting { until } => until,
+            State::Up if self.carries() == 0 => self.idle_since + idle_after * IDLE_CAUTION,
+            State::Up => f64::INFINITY,
+        }
+    }
+
+    pub fn push(&mut self, push: PushId, ask: &engine::Ask, now: f64) -> io::Result<()> {
+        let mut bytes = Vec::new();
+        engine::get(&mut bytes, ask);
+        self.waiting.push((ask.id.to_string(), push, bytes));
+        if self.up() {
+            self.send_waiting(now)?;
+        }
+        Ok(())
+    }
+
+    fn send_waiting(&mut self, now: f64) -> io::Result<()> {
+        self.idle_since = now;
+        for (id, push, bytes) in std::mem::take(&mut self.waiting) {
+            self.put(&bytes);
+            self.exchanges.insert(id, Exchange { push, end: self.put, pages: None });
+        }
+        self.flush()
+    }
+
+    fn put(&mut self, bytes: &[u8]) {
+        self.buffer.put(bytes);
+        self.put += bytes.len() as u64;
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        if self.up() && self.buffer.unsent() > 0 {
+            self.written += self.buffer.write(&*self.stream)? as u64;
+        }
+        Ok(())
+    }
+
+    pub fn change_lane(&mut self, push: PushId, lane: u8) -> io::Result<()> {
+        let id = self.exchanges.iter().find(|(_, exchange)| exchange.push == push).map(|(id, _)| id.clone());
+        let Some(id) = id else { return Ok(()) };
+        let mut bytes = Vec::new();
+        engine::lane(&mut bytes, &id, lane);
+        self.put(&bytes);
+        self.flush()
+    }
+
+    /// Gives a push up; tells how far it had come.
+    pub fn give_up(&mut self, push: PushId, now: f64) -> (Failure, io::Result<()>) {
+        if let Some(at) = self.waiting.iter().position(|(_, waiting, _)| *waiting == push) {
+            self.waiting.remove(at);
+            return (Failure::NeverSent, Ok(()));
+        }
+        let id = self.exchanges.iter().find(|(_, exchange)| exchange.push == push).map(|(id, _)| id.clone());
+        let Some((id, exchange)) = id.and_then(|id| self.exchanges.remove_entry(&id)) else {
+            return (Failure::Sent, Ok(()));
+        };
+        let mut bytes = Vec::new();
+        engine::give_up(&mut bytes, &id);
+        self.given_up.insert(id);
+        self.put(&bytes);
+        self.idle_since = now;
+        (if exchange.pages.is_some() { Failure::AnsweredInPart } else { Failure::Sent }, self.flush())
+    }
+
+    /// Reads what is ready; pushes that ended go into `ends`.
+    pub fn work(
+        &mut self,
+        readable: bool,
+        writable: bool,
+        now: f64,
+        ends: &mut Vec<(PushId, Outcome)>,
+    ) -> Result<(), Broken> {
+        self.readable |= readable;
+        if let State::Connecting { until } = self.state {
+            if !writable && now < until {
+                return Ok(());
+            }
+            if let Some(error) = self.stream.take_error()? {
+                return Err(error.into());
+            }
+            if self.stream.peer_addr().is_err() {
+                return if now < until { Ok(()) } else { Err(Broken::Io(io::ErrorKind::TimedOut.into())) };
+            }
+            self.state = State::Up;
+            self.send_waiting(now)?;
+        }
+        self.flush()?;
+        if !self.readable {
+            return Ok(());
+        }
+        // What is more than this is for the next turn, so that one engine does not starve the others.
+        let reached = self.buffer.read(&*self.stream, MOST_INPUT)?;
+        self.readable = reached == Reached::More;
+        self.answers(now, ends)?;
+        self.flush()?;
+        if reached == Reached::End {
+            return Err(Broken::Closed);
+        }
+        Ok(())
+    }
+
+    pub fn unfinished(&self) -> bool {
+        self.readable
+    }
+
+    fn answers(&mut self, now: f64, ends: &mut Vec<(PushId, Outcome)>) -> Result<(), Broken> {
+        loop {
+            let Some(answer) = engine::answer(self.buffer.input())? else { return Ok(()) };
+            let taken = answer.taken;
+            let mut asks = Vec::new();
+            if let Some(exchange) = self.exchanges.get_mut(answer.id) {
+                let outcome = match answer.word {
+                    Word::Done if exchange.pages.is_none() => {
+                        exchange.pages = Some(Pages::new(answer.pages.unwrap_or(1), answer.body)?);
+                        let pages = exchange.pages.as_mut().expect("just put there");
+                        pages.told = answer.work.zip(answer.peak).map(|(ms, mb)| (ms / 1e3, mb));
+                        pages.others().for_each(|number| engine::page(&mut asks, answer.id, number));
+                        pages.whole().map(|rows| Reply::Done { rows, told: pages.told })
+                    }
+                    Word::More => {
+                        let missing = Malformed("a page before the first");
+                        let pages = exchange.pages.as_mut().ok_or(missing)?;
+                        pages.add(answer.page.unwrap_or(0), answer.body)?;
+                        let whole = pages.whole();
+                        if whole.is_some() {
+                            engine::close(&mut asks, answer.id);
+                        }
+                        whole.map(|rows| Reply::Done { rows, told: pages.told })
+                    }
+                    Word::Broke => Some(Reply::Erred),
+                    Word::Wait if exchange.pages.is_none() => Some(Reply::Full),
+                    Word::Past if exchange.pages.is_none() => Some(Reply::TooLate),
+                    _ => return Err(Malformed("an answer out of place").into()),
+                };
+                if let Some(reply) = outcome {
+                    let exchange = self.exchanges.remove(answer.id).expect("just seen");
+                    if exchange.pages.is_some() && reply == Reply::Erred {
+                        // Its other pages may still come.
+                        self.given_up.insert(answer.id.to_string());
+                    }
+                    ends.push((exchange.push, Ok(reply)));
+                    self.idle_since = now;
+                }
+            } else if answer.word != Word::Fit {
+                self.answers_dropped += 1;
+            }
+            self.buffer.taken(taken);
+            if !asks.is_empty() {
+                self.put(&asks);
+            }
+        }
+    }
+
+    /// The connection is over; so is all that was open on it, as far as it had come.
+    pub fn over(self, ends: &mut Vec<(PushId, Outcome)>) {
+        for exchange in self.exchanges.into_values() {
+            let failure = match exchange.pages {
+                Some(_) => Failure::AnsweredInPart,
+                None if exchange.end > self.written => Failure::Refused,
+                None => Failure::Sent,
+            };
+            ends.push((exchange.push, Err(failure)));
+        }
+        ends.extend(self.waiting.into_iter().map(|(_, push, _)| (push, Err(Failure::Refused))));
+    }
+}
--- /dev/null
+++ b/crates/router/src/transport/links.rs
@@ -0,0 +1,201 @@
+//! All connections to engines: opened as pushes need them, shared by them, closed when idle.
+
+use super::engine::{Broken, Link};
+use super::{connect, out_of_descriptors, Handle, Source};
+use crate::protocol::engine::Ask;
+use crate::routing::{Counters, Failure, Outcome, PushId};
+use calloop::Readiness;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+
+pub struct Links {
+    handle: Handle,
+    links: HashMap<u64, Link>,
+    next: u64,
+    most: usize,
+    stated: cleatgw_start::Links,
+    /// Pushes that ended: news of the next turn.
+    ends: Vec<(PushId, Outcome)>,
+    link_of: HashMap<PushId, u64>,
+    counters: Counters,
+}
+
+impl Links {
+    pub fn new(handle: &Handle, stated: cleatgw_start::Links, most: usize) -> Links {
+        Links {
+            handle: handle.clone(),
+            links: HashMap::new(),
+            next: 0,
+            most: most.max(1),
+            stated,
+            ends: Vec::new(),
+            link_of: HashMap::new(),
+            counters: Counters::default(),
+        }
+    }
+
+    pub fn push(&mut self, push: PushId, engine: usize, address: SocketAddr, ask: &Ask, now: f64) {
+        let (most, idle) = (self.stated.pushes_each, self.stated.idle_after);
+        let here = |link: &Link| link.engine == engine && link.address == address;
+        let fit = self.links.iter().filter(|(_, link)| here(link) && link.takes(ask.id, most, idle, now));
+        let id = match fit.max_by_key(|(&id, link)| (link.up(), id)).map(|(&id, _)| id) {
+            Some(id) => id,
+            None => match self.open(engine, address, now) {
+                Ok(id) => id,
+                Err(failure) => return self.ends.push((push, Err(failure))),
+            },
+        };
+        self.link_of.insert(push, id);
+        let link = self.links.get_mut(&id).expect("just found");
+        if let Err(error) = link.push(push, ask, now) {
+            self.broken(id, Broken::Io(error));
+        }
+    }
+
+    fn open(&mut self, engine: usize, address: SocketAddr, now: f64) -> Result<u64, Failure> {
+        if self.links.len() >= self.most && !self.make_room() {
+            self.counters.descriptors_short += 1;
+            return Err(Failure::NeverSent);
+        }
+        let id = self.next;
+        self.next += 1;
+        match connect(&self.handle, address, Source::Link(id)) {
+            Ok((token, stream)) => {
+                let until = now + self.stated.connect_time_out;
+                self.links.insert(id, Link::new(token, engine, address, stream, until));
+                self.counters.links += 1;
+                Ok(id)
+            }
+            Err(error) if out_of_descriptors(&error) => {
+                self.counters.descriptors_short += 1;
+                Err(Failure::NeverSent)
+            }
+            Err(error) => {
+                log::debug!("engine {engine} at {address}: {error}");
+                self.counters.links_failed += 1;
+                Err(Failure::Refused)
+            }
+        }
+    }
+
+    /// Closes a connection that carries nothing.
+    fn make_room(&mut self) -> bool {
+        let idle = self.links.iter().find(|(_, link)| link.carries() == 0).map(|(&id, _)| id);
+        idle.map(|id| self.close(id)).is_some()
+    }
+
+    fn close(&mut self, id: u64) {
+        let Some(link) = self.links.remove(&id) else { return };
+        self.handle.remove(link.token);
+        self.counters.answers_dropped += link.answers_dropped;
+        link.over(&mut self.ends);
+    }
+
+    fn broken(&mut self, id: u64, why: Broken) {
+        let Some(link) = self.links.get(&id) else { return };
+        match why {
+            Broken::Malformed(_) => {
+                self.counters.links_malformed += 1;
+                log::warn!("engine {} at {}: {why}", link.engine, link.address);
+            }
+            _ if !link.up() => self.counters.links_failed += 1,
+            _ => {}
+        }
+        log::debug!("engine {} at {}: {why}, with {} pushes", link.engine, link.address, link.carries());
+        self.close(id);
+    }
+
+    pub fn work(&mut self, id: u64, readiness: Readiness, now: f64) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        let ends = &mut self.ends;
+        let work = || link.work(readiness.readable, readiness.writable, now, ends);
+        match catch_unwind(AssertUnwindSafe(work)) {
+            Ok(Ok(())) => {}
+            Ok(Err(why)) => self.broken(id, why),
+            Err(_) => {
+                log::error!("engine {}: its connection failed and is closed", link.engine);
+                self.counters.panics += 1;
+                self.close(id);
+            }
+        }
+    }
+
+    /// Connections that did not come up, or have been idle for too long.
+    pub fn time_passed(&mut self, now: f64) {
+        let idle = self.stated.idle_after;
+        let due: Vec<u64> =
+            self.links.iter().filter(|(_, link)| now >= link.due(idle)).map(|(&id, _)| id).collect();
+        for id in due {
+            let connecting = self.links.get(&id).is_some_and(|link| !link.up());
+            if connecting {
+                self.work(id, Readiness { readable: false, writable: true, error: false }, now);
+            } else {
+                self.close(id);
+            }
+        }
+    }
+
+    pub fn due(&self) -> f64 {
+        self.links.values().map(|link| link.due(self.stated.idle_after)).fold(f64::INFINITY, f64::min)
+    }
+
+    /// Hands over the pushes that ended.
+    pub fn ended(&mut self, ends: &mut Vec<(PushId, Outcome)>) {
+        for (push, outcome) in self.ends.drain(..) {
+            self.link_of.remove(&push);
+            ends.push((push, outcome));
+        }
+    }
+
+    pub fn has_ended(&self) -> bool {
+        !self.ends.is_empty()
+    }
+
+    pub fn give_up(&mut self, push: PushId, now: f64) -> Failure {
+        // It may have ended just now, in a way that the next turn will tell.
+        if let Some(at) = self.ends.iter().position(|(ended, _)| *ended == push) {
+            self.link_of.remove(&push);
+            return match self.ends.remove(at).1 {
+                Err(failure) => failure,
+                Ok(_) => Failure::AnsweredInPart,
+            };
+        }
+        let Some(id) = self.link_of.remove(&push) else { return Failure::NeverSent };
+        let Some(link) = self.links.get_mut(&id) else { return Failure::Sent };
+        let (failure, written) = link.give_up(push, now);
+        if let Err(error) = written {
+            self.broken(id, Broken::Io(error));
+        }
+        failure
+    }
+
+    pub fn change_lane(&mut self, push: PushId, lane: u8) {
+        let Some(&id) = self.link_of.get(&push) else { return };
+        let changed = self.links.get_mut(&id).map(|link| link.change_lane(push, lane));
+        if let Some(Err(error)) = changed {
+            self.broken(id, Broken::Io(error));
+        }
+    }
+
+    pub fn close_idle(&mut self, engine: usize) {
+        let idle = self.links.iter().filter(|(_, link)| link.engine == engine && link.carries() == 0);
+        idle.map(|(&id, _)| id).collect::<Vec<_>>().into_iter().for_each(|id| self.close(id));
+    }
+
+    pub fn unfinished(&self) -> impl Iterator<Item = Source> + '_ {
+        self.links.iter().filter(|(_, link)| link.unfinished()).map(|(&id, _)| Source::Link(id))
+    }
+
+    pub fn count(&self, counters: &mut Counters) {
+        let own = &self.counters;
+        counters.links = own.links;
+        counters.links_open = self.links.len() as u64;
+        counters.links_failed = own.links_failed;
+        counters.links_malformed = own.links_malformed;
+        counters.descriptors_short += own.descriptors_short;
+        counters.panics += own.panics;
+        let late: u64 = self.links.values().map(|link| link.answers_dropped).sum();
+        counters.answers_dropped += own.answers_dropped + late;
+    }
+}
--- /dev/null
+++ b/crates/router/src/transport/mod.rs
@@ -0,0 +1,291 @@
+//! The loop and the connections: one turn reads what is ready, hands it over in one go, and writes what came of it.
+
+mod board;
+mod buffer;
+mod client;
+mod engine;
+mod links;
+mod sessions;
+
+use crate::routing::{Answer, Counters, Failure, News, Peers, PushId, Routing, SessionId};
+use board::BoardLink;
+use calloop::generic::Generic;
+use calloop::signals::{Signal, Signals};
+use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use links::Links;
+use sessions::Sessions;
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::os::fd::AsFd;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Sessions and links are looked over so often for what has stalled.
+const SWEEP: f64 = 0.5;
+/// After a planned stop, requests come for this long, and the router is killed so long after its longest job.
+const STILL_COMING: f64 = 0.75;
+const KILLED_AFTER: f64 = 0.7;
+const LONGEST_GIVEN: f64 = 3.0;
+/// The last answers are out so much sooner.
+const STOP_MARGIN: f64 = 0.3;
+
+/// What the loop tells of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Source {
+    Listener,
+    Session(SessionId),
+    Link(u64),
+    Board,
+}
+
+/// What has become ready since the last turn; the loop's callbacks only note it here.
+#[derive(Default)]
+pub struct Ready {
+    sources: Vec<(Source, Readiness)>,
+    signals: Vec<Signal>,
+}
+
+type Handle = LoopHandle<'static, Ready>;
+
+fn watch<F: AsFd + 'static>(handle: &Handle, file: F, source: Source) -> io::Result<RegistrationToken> {
+    let watched = Generic::new(file, Interest::BOTH, Mode::Edge);
+    let noted = handle.insert_source(watched, move |readiness, _, ready| {
+        ready.sources.push((source, readiness));
+        Ok(PostAction::Continue)
+    });
+    noted.map_err(|error| io::Error::other(error.error))
+}
+
+/// Begins a connection, which comes up, or does not, later.
+fn connect(
+    handle: &Handle,
+    to: SocketAddr,
+    source: Source,
+) -> io::Result<(RegistrationToken, Rc<TcpStream>)> {
+    let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    socket.set_tcp_nodelay(true)?;
+    if let Err(error) = socket.connect(&to.into()) {
+        let under_way = error.raw_os_error() == Some(rustix::io::Errno::INPROGRESS.raw_os_error());
+        if !under_way && error.kind() != io::ErrorKind::WouldBlock {
+            return Err(error);
+        }
+    }
+    let stream = Rc::new(TcpStream::from(socket));
+    Ok((watch(handle, stream.clone(), source)?, stream))
+}
+
+fn out_of_descriptors(error: &io::Error) -> bool {
+    let short = [rustix::io::Errno::MFILE, rustix::io::Errno::NFILE, rustix::io::Errno::NOBUFS];
+    short.iter().any(|errno| error.raw_os_error() == Some(errno.raw_os_error()))
+}
+
+/// What a router is told at its start, beside what its decisions are told.
+pub struct Place {
+    pub listen: SocketAddr,
+    pub board: Option<SocketAddr>,
+    pub last_event: u64,
+    pub descriptors: usize,
+    pub memory: usize,
+    pub links: cleatgw_start::Links,
+}
+
+/// The connections that routing's words are carried out on.
+struct Net {
+    sessions: Sessions,
+    links: Links,
+    now: f64,
+}
+
+impl Peers for Net {
+    fn answer(&mut self, session: SessionId, answer: Answer) {
+        self.sessions.answer(session, answer, self.now);
+    }
+
+    fn push(&mut self, push: PushId, engine: usize, address: SocketAddr, ask: &crate::protocol::engine::Ask) {
+        self.links.push(push, engine, address, ask, self.now);
+    }
+
+    fn change_lane(&mut self, push: PushId, lane: u8) {
+        self.links.change_lane(push, lane);
+    }
+
+    fn give_up(&mut self, push: PushId) -> Failure {
+        self.links.give_up(push, self.now)
+    }
+
+    fn close_idle(&mut self, engine: usize) {
+        self.links.close_idle(engine);
+    }
+}
+
+struct Server {
+    handle: Handle,
+    routing: Routing,
+    net: Net,
+    board: BoardLink,
+    news: News,
+    /// What is to be looked at in the next turn, though nothing becomes ready.
+    again: Vec<Source>,
+    sweep_at: f64,
+    serving: bool,
+    /// When the router was told to stop, and by when it must have.
+    stopping: Option<(f64, f64)>,
+    longest_job: f64,
+}
+
+fn clock() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |since| since.as_secs_f64())
+}
+
+/// Serves until it is told to stop and every job has its answer.
+pub fn serve(place: Place, mut routing: Routing, news: News) -> io::Result<Counters> {
+    let mut event_loop: EventLoop<Ready> = EventLoop::try_new()?;
+    let handle = event_loop.handle();
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1])?;
+    let noted =
+        handle.insert_source(signals, |event, _, ready: &mut Ready| ready.signals.push(event.signal()));
+    noted.map_err(|error| io::Error::other(error.error))?;
+    let now = clock();
+    let longest_job = place.links.longest_job;
+    let sessions = Sessions::open(&handle, place.listen, place.descriptors, place.memory)?;
+    let links = Links::new(&handle, place.links, place.descriptors / 4);
+    routing.counters().turns = 0;
+    let mut server = Server {
+        board: BoardLink::new(place.board, place.last_event, place.memory / 16, now),
+        net: Net { sessions, links, now },
+        handle,
+        routing,
+        news,
+        again: Vec::new(),
+        sweep_at: now,
+        serving: false,
+        stopping: None,
+        longest_job,
+    };
+    let mut ready = Ready::default();
+    loop {
+        let wake = server.turn(&mut ready);
+        if server.stopped() {
+            let counters = server.counters();
+            return Ok(counters);
+        }
+        let wait = (wake - clock()).clamp(0.0, 1.0);
+        match event_loop.dispatch(Some(Duration::from_secs_f64(wait)), &mut ready) {
+            Err(calloop::Error::IoError(error)) if error.kind() != io::ErrorKind::Interrupted => {
+                return Err(error)
+            }
+            Err(calloop::Error::IoError(_)) | Ok(()) => {}
+            Err(error) => return Err(io::Error::other(error)),
+        }
+    }
+}
+
+impl Server {
+    /// Returns when the next turn is due, if nothing becomes ready before.
+    fn turn(&mut self, ready: &mut Ready) -> f64 {
+        // A clock that is set back must not hold anything up.
+        let now = clock().max(self.net.now);
+        self.net.now = now;
+        let mut sources = std::mem::take(&mut ready.sources);
+        let unfinished = std::mem::take(&mut self.again).into_iter();
+        sources.extend(unfinished.map(|source| (source, Readiness::EMPTY)));
+        for signal in std::mem::take(&mut ready.signals) {
+            self.signal(signal, now);
+        }
+        for (source, readiness) in sources {
+            match source {
+                Source::Listener => self.net.sessions.accept(now),
+                Source::Session(id) => {
+                    self.net.sessions.work(id, readiness, self.serving, now, &mut self.news)
+                }
+                Source::Link(id) => self.net.links.work(id, readiness, now),
+                Source::Board => self.board(readiness, now),
+            }
+        }
+        self.due(now);
+        let mut news = std::mem::take(&mut self.news);
+        self.net.links.ended(&mut news.ends);
+        self.net.sessions.kills(&mut news.withdrawn);
+        let (unusable, wake) = self.routing.turn(now, news, &mut self.net);
+        for (session, why) in unusable {
+            self.net.sessions.unusable(session, &why, now);
+        }
+        if !self.net.sessions.curious.is_empty() {
+            let counters = self.counters().to_string();
+            self.net.sessions.tell(&counters, now);
+        }
+        if !self.serving && self.routing.ready() {
+            self.serving = true;
+            self.again.extend(self.net.sessions.all());
+        }
+        self.again.extend(self.net.sessions.unfinished());
+        self.again.extend(self.net.links.unfinished());
+        self.again.extend(self.board.unfinished().then_some(Source::Board));
+        let counters = self.routing.counters();
+        counters.turns += 1;
+        counters.longest_turn_us = counters.longest_turn_us.max(((clock() - now) * 1e6) as u64);
+        if !self.again.is_empty() || self.net.links.has_ended() {
+            return now;
+        }
+        let stop = self.stopping.map_or(f64::INFINITY, |(at, last)| if now < at { at } else { last });
+        wake.min(self.sweep_at).min(self.board.due()).min(self.net.links.due()).min(stop)
+    }
+
+    fn counters(&mut self) -> Counters {
+        let mut counters = self.routing.counters().clone();
+        self.net.sessions.count(&mut counters);
+        self.net.links.count(&mut counters);
+        self.board.count(&mut counters);
+        counters
+    }
+
+    fn signal(&mut self, signal: Signal, now: f64) {
+        if signal == Signal::SIGUSR1 {
+            let counters = self.counters();
+            return log::info!("counters: {counters}");
+        }
+        if self.stopping.is_none() {
+            let last = now + self.longest_job.min(LONGEST_GIVEN) + KILLED_AFTER - STOP_MARGIN;
+            log::info!("{signal:?}: stopping, {} jobs open", self.routing.open());
+            self.routing.stop_at(last);
+            self.stopping = Some((now + STILL_COMING, last));
+        }
+    }
+
+    fn stopped(&self) -> bool {
+        let done = self.routing.open() == 0 && self.net.sessions.unsent() == 0;
+        self.stopping
+            .is_some_and(|(at, last)| self.net.now >= at && done || self.net.now >= last + STOP_MARGIN / 2.0)
+    }
+
+    fn board(&mut self, readiness: Readiness, now: f64) {
+        let (readable, writable) = (readiness.readable, readiness.writable);
+        if let Err(why) = self.board.work(readable, writable, now, &mut self.news.lists) {
+            if let Some(token) = self.board.lost(&why, now) {
+                self.handle.remove(token);
+            }
+        }
+    }
+
+    /// What falls due without anything becoming ready.
+    fn due(&mut self, now: f64) {
+        if now >= self.board.due() {
+            if let Some(address) = self.board.wants_connection(now) {
+                let wire = connect(&self.handle, address, Source::Board);
+                if let Err(error) = &wire {
+                    log::warn!("notice board {address}: {error}");
+                }
+                self.board.connecting(wire.ok(), now);
+            } else {
+                self.board(Readiness::EMPTY, now);
+            }
+        }
+        self.net.links.time_passed(now);
+        if now >= self.sweep_at {
+            self.sweep_at = now + SWEEP;
+            self.net.sessions.sweep(now, &mut self.news);
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/transport/sessions.rs
@@ -0,0 +1,244 @@
+//! All client sessions: the listener, how many there may be, and what each of them asks.
+
+use super::client::{Heard, Session};
+use super::{out_of_descriptors, watch, Handle, Source};
+use crate::protocol::mysql;
+use crate::routing::{Answer, Counters, News, SessionId};
+use calloop::{Readiness, RegistrationToken};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::collections::HashMap;
+use std::io::{self, ErrorKind};
+use std::net::{SocketAddr, TcpListener};
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::rc::Rc;
+
+const BACKLOG: i32 = 1024;
+/// So many connections are accepted in one turn.
+const ACCEPTED: usize = 64;
+/// A statement may be as long as this, if memory allows.
+const LONGEST: usize = 1024 * 1024;
+
+pub struct Sessions {
+    handle: Handle,
+    listener: Rc<TcpListener>,
+    _token: RegistrationToken,
+    sessions: HashMap<SessionId, Session>,
+    most: usize,
+    longest: usize,
+    next: SessionId,
+    /// Connections may be waiting to be accepted.
+    accepts: bool,
+    /// Those to be looked at again.
+    again: Vec<SessionId>,
+    kills: Vec<(SessionId, SessionId, bool)>,
+    /// Those that asked for the counters.
+    pub curious: Vec<SessionId>,
+    counters: Counters,
+}
+
+impl Sessions {
+    pub fn open(
+        handle: &Handle,
+        listen: SocketAddr,
+        descriptors: usize,
+        memory: usize,
+    ) -> io::Result<Sessions> {
+        let socket = Socket::new(Domain::for_address(listen), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&listen.into())?;
+        socket.listen(BACKLOG)?;
+        let listener = Rc::new(TcpListener::from(socket));
+        let most = (descriptors / 2).max(1);
+        Ok(Sessions {
+            _token: watch(handle, listener.clone(), Source::Listener)?,
+            handle: handle.clone(),
+            listener,
+            sessions: HashMap::new(),
+            most,
+            longest: (memory / 4 / most).min(LONGEST),
+            next: 1,
+            accepts: false,
+            again: Vec::new(),
+            kills: Vec::new(),
+            curious: Vec::new(),
+            counters: Counters::default(),
+        })
+    }
+
+    pub fn accept(&mut self, now: f64) {
+        self.accepts = true;
+        for _ in 0..ACCEPTED {
+            if self.sessions.len() >= self.most && !self.make_room() {
+                return;
+            }
+            match self.listener.accept() {
+                Ok((stream, _)) => {
+                    if let Err(error) = self.begin(stream, now) {
+                        log::debug!("a session that did not begin: {error}");
+                    }
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    self.accepts = false;
+                    return;
+                }
+                Err(error) if out_of_descriptors(&error) => {
+                    self.counters.descriptors_short += 1;
+                    if !self.make_room() {
+                        return;
+                    }
+                }
+                Err(error) => log::debug!("accept: {error}"),
+            }
+        }
+    }
+
+    fn begin(&mut self, stream: std::net::TcpStream, now: f64) -> io::Result<()> {
+        stream.set_nonblocking(true)?;
+        stream.set_nodelay(true)?;
+        let stream = Rc::new(stream);
+        while self.next == 0 || self.sessions.contains_key(&self.next) {
+            self.next = self.next.wrapping_add(1);
+        }
+        let id = self.next;
+        self.next = self.next.wrapping_add(1);
+        let token = watch(&self.handle, stream.clone(), Source::Session(id))?;
+        self.sessions.insert(id, Session::new(token, id, stream, self.longest, now));
+        self.counters.sessions += 1;
+        self.again.push(id);
+        Ok(())
+    }
+
+    /// Closes the session that has been idle for longest; none may be.
+    fn make_room(&mut self) -> bool {
+        let spare = self.sessions.iter().filter(|(_, session)| session.spare());
+        let Some(id) = spare.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(&id, _)| id) else {
+            return false;
+        };
+        self.counters.sessions_closed_for_room += 1;
+        self.remove(id);
+        true
+    }
+
+    fn remove(&mut self, id: SessionId) {
+        if let Some(session) = self.sessions.remove(&id) {
+            self.handle.remove(session.token);
+        }
+    }
+
+    pub fn work(&mut self, id: SessionId, readiness: Readiness, serving: bool, now: f64, news: &mut News) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        if readiness.readable || readiness.writable {
+            session.ready(readiness.readable, now);
+        }
+        let worked = catch_unwind(AssertUnwindSafe(|| session.work(serving)));
+        let closed = session.closed();
+        match worked {
+            Ok(Ok(None)) => {}
+            Ok(Ok(Some(Heard::Asked(request)))) => news.asked.push((id, request)),
+            Ok(Ok(Some(Heard::Kill { session, query_only }))) => self.kills.push((id, session, query_only)),
+            Ok(Ok(Some(Heard::Counters))) => self.curious.push(id),
+            Ok(Err(error)) => {
+                log::debug!("session {id}: {error}");
+                return self.end(id, news);
+            }
+            Err(_) => {
+                log::error!("session {id} failed and is closed");
+                self.counters.panics += 1;
+                return self.end(id, news);
+            }
+        }
+        if closed {
+            self.end(id, news);
+        }
+    }
+
+    fn end(&mut self, id: SessionId, news: &mut News) {
+        if self.sessions.get(&id).is_some_and(Session::waiting) {
+            news.withdrawn.push(id);
+        }
+        self.remove(id);
+    }
+
+    /// Does what was asked of other sessions, once all that was ready has been read.
+    pub fn kills(&mut self, withdrawn: &mut Vec<SessionId>) {
+        for (asker, id, query_only) in std::mem::take(&mut self.kills) {
+            let found = self.sessions.get_mut(&id).map(|session| {
+                withdrawn.extend(session.waiting().then_some(id));
+                if !query_only {
+                    session.kill();
+                }
+            });
+            if let Some(asker) = self.sessions.get_mut(&asker) {
+                match found {
+                    Some(()) => asker.ok(),
+                    None => asker.error(mysql::NO_SUCH_SESSION, &format!("unknown connection id: {id}")),
+                }
+            }
+            self.again.extend([asker, id]);
+        }
+    }
+
+    pub fn answer(&mut self, id: SessionId, answer: Answer, now: f64) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.answer(answer, now);
+            self.again.push(id);
+        }
+    }
+
+    pub fn unusable(&mut self, id: SessionId, why: &str, now: f64) {
+        log::debug!("session {id}: {why}");
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.since = now;
+            session.error(mysql::NOT_UNDERSTOOD, why);
+            self.again.push(id);
+        }
+    }
+
+    /// Answers those that asked for the counters.
+    pub fn tell(&mut self, counters: &str, now: f64) {
+        for id in std::mem::take(&mut self.curious) {
+            if let Some(session) = self.sessions.get_mut(&id) {
+                session.since = now;
+                session.text(counters);
+                self.again.push(id);
+            }
+        }
+    }
+
+    /// Closes what has stalled, and accepts what had to wait for room.
+    pub fn sweep(&mut self, now: f64, news: &mut News) {
+        self.sessions.values_mut().for_each(|session| session.sweep(now));
+        let closed = self.sessions.iter().filter(|(_, session)| session.closed());
+        for id in closed.map(|(&id, _)| id).collect::<Vec<_>>() {
+            self.end(id, news);
+        }
+        if self.accepts {
+            self.accept(now);
+        }
+    }
+
+    pub fn unsent(&self) -> usize {
+        self.sessions.values().map(Session::unsent).sum()
+    }
+
+    pub fn all(&self) -> impl Iterator<Item = Source> + '_ {
+        self.sessions.keys().map(|&id| Source::Session(id))
+    }
+
+    /// What is to be looked at in the next turn, though nothing becomes ready.
+    pub fn unfinished(&mut self) -> Vec<Source> {
+        let again = std::mem::take(&mut self.again).into_iter();
+        let unfinished = |id: &SessionId| self.sessions.get(id).is_some_and(|s| s.unfinished() || s.closed());
+        again.filter(unfinished).map(Source::Session).collect()
+    }
+
+    pub fn count(&self, counters: &mut Counters) {
+        let own = &self.counters;
+        counters.sessions = own.sessions;
+        counters.sessions_open = self.sessions.len() as u64;
+        counters.sessions_closed_for_room = own.sessions_closed_for_room;
+        counters.descriptors_short += own.descriptors_short;
+        counters.panics += own.panics;
+    }
+}
--- a/crates/adapter/src/start.rs
+++ b/crates/start/src/lib.rs
@@ -1,9 +1,14 @@
-//! The first message's path=value pairs, read into what the decisions are told at the start.
+//! What a deployment states at the start: `path=value` pairs of the wire, or the same as nested JSON, read into
+//! what the decisions are told, the names behind the small indices, and what connections need to know.
 
-use crate::wire::Complaint;
 use cleatgw::{Category, ColdStart, Deployment, Effect, Kind, PushBudget, Reach};
+use serde_json::Value;
 use std::collections::HashMap;
 
+/// What was wrong with the input, in words for a person.
+#[derive(Debug, PartialEq)]
+pub struct Complaint(pub String);
+
 /// The names behind the small indices, and the columns of load reports.
 #[derive(Default)]
 pub struct Names {
@@ -13,18 +18,65 @@
     pub columns: Vec<String>,
 }
 
-struct Pairs<'a>(HashMap<&'a str, &'a str>);
+/// What is stated of connections to engines; times in seconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Links {
+    pub connect_time_out: f64,
+    pub idle_after: f64,
+    pub pushes_each: usize,
+    /// How long a client waits for a job at most.
+    pub longest_job: f64,
+}
+
+/// What is stated, by the wire's paths.
+pub struct Pairs(HashMap<String, String>);
+
+/// A value as the wire writes it: without spaces and commas.
+pub fn flat(text: &str) -> String {
+    text.replace([' ', ','], "_")
+}
+
+impl Pairs {
+    /// The wire's form: `path=value`, parted by spaces.
+    pub fn from_words(text: &str) -> Pairs {
+        let owned = |(path, value): (&str, &str)| (path.to_string(), value.to_string());
+        Pairs(text.split(' ').filter_map(|pair| pair.split_once('=')).map(owned).collect())
+    }
+
+    pub fn from_json(value: &Value) -> Pairs {
+        let mut pairs = Pairs(HashMap::new());
+        pairs.flatten("", value);
+        pairs
+    }
+
+    fn flatten(&mut self, path: &str, value: &Value) {
+        let below = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
+        match value {
+            Value::Object(members) => {
+                members.iter().for_each(|(key, value)| self.flatten(&below(key), value))
+            }
+            Value::Array(items) if items.iter().any(|item| item.is_object() || item.is_array()) => {
+                self.0.insert(below("count"), items.len().to_string());
+                items.iter().enumerate().for_each(|(at, item)| self.flatten(&below(&at.to_string()), item));
+            }
+            Value::Array(items) => {
+                self.0.insert(below("count"), items.len().to_string());
+                let items: Vec<String> = items.iter().map(plain).collect();
+                self.0.insert(path.to_string(), items.join(","));
+            }
+            _ => drop(self.0.insert(path.to_string(), plain(value))),
+        }
+    }
 
-impl<'a> Pairs<'a> {
-    fn text(&self, path: &str) -> Option<&'a str> {
-        self.0.get(path).copied().filter(|text| !text.is_empty() && *text != "-")
+    fn text(&self, path: &str) -> Option<&str> {
+        self.0.get(path).map(String::as_str).filter(|text| !text.is_empty() && *text != "-")
     }
 
     fn maybe(&self, path: &str) -> Result<Option<f64>, Complaint> {
         let Some(text) = self.text(path) else { return Ok(None) };
         match text.parse::<f64>() {
             Ok(number) if number.is_finite() => Ok(Some(number)),
-            _ => Err(Complaint(format!("BEGIN: setting {path}: expected a number, got \"{text}\""))),
+            _ => Err(Complaint(format!("setting {path}: expected a number, got \"{text}\""))),
         }
     }
 
@@ -40,7 +92,7 @@
         matches!(self.text(path), Some("true" | "1"))
     }
 
-    fn list(&self, path: &str) -> Vec<&'a str> {
+    fn list(&self, path: &str) -> Vec<&str> {
         self.text(path).map_or(Vec::new(), |text| text.split(',').collect())
     }
 
@@ -49,7 +101,7 @@
         if (0.0..=10_000.0).contains(&count) {
             return Ok(count as usize);
         }
-        Err(Complaint(format!("BEGIN: setting {path}.count: expected 0 to 10000, got {count}")))
+        Err(Complaint(format!("setting {path}.count: expected 0 to 10000, got {count}")))
     }
 
     /// Numbers of a list; one that does not parse is named.
@@ -57,12 +109,36 @@
         self.list(path)
             .into_iter()
             .map(|text| {
-                text.parse().map_err(|_| {
-                    Complaint(format!("BEGIN: setting {path}: expected numbers, got \"{text}\""))
-                })
+                text.parse()
+                    .map_err(|_| Complaint(format!("setting {path}: expected numbers, got \"{text}\"")))
             })
             .collect()
     }
+
+    pub fn links(&self) -> Result<Links, Complaint> {
+        let longest = |at| self.time(&format!("categories.{at}.hard-limit-us"), 0.0);
+        let limits: Vec<f64> = (0..self.count("categories")?).map(longest).collect::<Result<_, _>>()?;
+        Ok(Links {
+            longest_job: limits.into_iter().fold(0.0, f64::max),
+            connect_time_out: self.time("limits.connect-timeout-us", 0.25)?,
+            idle_after: self.time("limits.conn-idle-us", 15.0)?,
+            pushes_each: self.number("limits.multiplex", 1.0)?.max(1.0) as usize,
+        })
+    }
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => flat(text),
+        Value::Null => String::new(),
+        other => other.to_string(),
+    }
+}
+
+/// The same at every gateway and in every build: FNV-1a.
+pub fn name_hash(text: &str) -> u64 {
+    text.bytes()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3))
 }
 
 fn owned(list: &[&str]) -> Vec<String> {
@@ -77,8 +153,7 @@
     })
 }
 
-pub fn read(text: &str) -> Result<(Deployment, Names), Complaint> {
-    let pairs = Pairs(text.split(' ').filter_map(|pair| pair.split_once('=')).collect());
+pub fn read(pairs: &Pairs) -> Result<(Deployment, Names), Complaint> {
     let mut names = Names {
         zones: owned(&pairs.list("zones")),
         kinds: owned(&pairs.list("shapes")),
