A light job finds out about engines we hold nothing on, as gateways are few

A probe in the module's tick showed two to three engines with no push of ours, doubted by none, and 3.6 threads a core felt of peers: `has_room` refused every push, so nothing ever told otherwise; the feeling fades 2 % a tick. Ruled out: doubt alone (engine 1 was trusted throughout), round frequency. At fault: `has_room` has no exemption where `engine.pushes == 0`, which was taken out for fleets of many gateways. Now a light job may go where we hold nothing, if all gateways doing so at once stay under one thread a core; larger fleets (grown deployments) are untouched by that condition. Could harm: a truly full engine gets one light job a gateway.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -75,10 +75,8 @@
 
     fn saw(&mut self, roc: f64, memory: f64) {
         if roc.is_finite() && roc > 0.0 {
-            self.recent.push_back((roc, memory));
-            if self.recent.len() > 101 {
-                self.recent.pop_front();
-            }
+            self.recent.push_front((roc, memory));
+            self.recent.truncate(101);
         }
     }
 
@@ -415,9 +413,7 @@
     }
 
     pub fn engines_listed(&mut self, now: f64, listings: &[Listing], whole: bool) {
-        if whole {
-            self.engines.iter_mut().for_each(|engine| engine.at.stage = Stage::Gone);
-        }
+        self.engines.iter_mut().filter(|_| whole).for_each(|engine| engine.at.stage = Stage::Gone);
         for &listing in listings {
             if self.engines.len() <= listing.engine {
                 self.engines.resize_with(listing.engine + 1, EngineState::default);
@@ -458,9 +454,7 @@
 
     /// The list could not be had; the old one stands, and a new subscription is asked for in a while.
     pub fn list_failed(&mut self, now: f64) {
-        if self.given.ask_within.is_some() {
-            self.watch_at = Some(now + 1.0);
-        }
+        self.watch_at = self.given.ask_within.map(|_| now + 1.0);
         self.log.push(format!("list out of reach, {} engines known", self.engines.len()));
     }
 
@@ -781,8 +775,12 @@
         // Reports lag: no gateway takes more than twice its share. Without any, most may come from one.
         let ours = (engine.threads + threads) / engine.cores;
         let share = (2.0 / self.given.gateways).max(if engine.room.tells { 0.0 } else { 0.6 });
-        (engine.pushes == 0 || ours <= share * limit)
-            && ours + peers <= limit.max(1.25 * threads / engine.cores)
+        // What we hold nothing on tells us nothing more: a light job finds out, unless gateways are so many that
+        // theirs would fill it. What was felt of peers in a slow spell kept us off sound engines for long.
+        let finds_out = light && engine.pushes == 0 && self.given.gateways * threads <= engine.cores;
+        finds_out
+            || (engine.pushes == 0 || ours <= share * limit)
+                && ours + peers <= limit.max(1.25 * threads / engine.cores)
     }
 
     fn push(&mut self, now: f64, id: usize, at: usize, grant: f64, quarter: bool, out: &mut dyn Writer) {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -711,3 +711,25 @@
     assert_eq!(world.answers(passed).len(), 1);
     assert!(new.iter().all(|&job| world.engines_of(job) == [1]));
 }
+
+#[test]
+fn an_engine_that_we_hold_nothing_on_is_found_out_about_by_a_light_job() {
+    for (gateways, found) in [(3.0, true), (30.0, false)] {
+        let mut deployment = plain();
+        deployment.gateways = gateways;
+        let mut world = World::new(deployment, 1);
+        // A slow spell: what is felt of peers there fills the engine long after it is over.
+        for _ in 0..30 {
+            let job = world.job(0, |taken| taken.cut_off += 50.0);
+            world.round();
+            if !world.engines_of(job).is_empty() {
+                world.pass(1.0);
+                world.tell(job, 1.0, 0.1, 50.0);
+            }
+        }
+        world.pass(0.5);
+        let later = world.job(0, |_| ());
+        world.round();
+        assert_eq!(!world.engines_of(later).is_empty(), found, "{gateways} gateways");
+    }
+}
