--- /dev/null
+++ b/crates/router/src/log_lines.rs
@@ -0,0 +1,52 @@
+//! Log lines go to standard error as far as it takes them at once: a slow reader loses lines, and never holds up
+//! the loop.
+
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use std::io::{self, Write};
+
+/// A pipe that is ready takes this much without waiting.
+const LONGEST: usize = 4096;
+
+struct Lines {
+    lost: u64,
+}
+
+impl Lines {
+    fn ready() -> bool {
+        let stderr = io::stderr();
+        let mut wanted = [PollFd::new(&stderr, PollFlags::OUT)];
+        let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+        poll(&mut wanted, Some(&at_once)).is_ok_and(|ready| ready > 0)
+    }
+}
+
+impl Write for Lines {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        if !Lines::ready() {
+            self.lost += 1;
+            return Ok(line.len());
+        }
+        let mut text = Vec::new();
+        if self.lost > 0 {
+            text = format!("[{} log lines lost]\n", std::mem::take(&mut self.lost)).into_bytes();
+        }
+        text.extend(line);
+        if text.len() > LONGEST {
+            text.truncate(LONGEST - 1);
+            text.push(b'\n');
+        }
+        // Without a reader there is nobody to tell.
+        let _ = io::stderr().write(&text);
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+pub fn start() {
+    let filter = env_logger::Env::default().default_filter_or("info");
+    let lines = env_logger::Target::Pipe(Box::new(Lines { lost: 0 }));
+    env_logger::Builder::from_env(filter).target(lines).init();
+}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,6 +1,7 @@
 //! cleatgw: the query gateway on sockets.
 
 mod config;
+mod log_lines;
 mod protocol;
 mod routing;
 mod transport;
@@ -77,7 +78,7 @@
 }
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    log_lines::start();
     let done = match options().run() {
         Command::Serve { config } => serve(config),
         Command::Check { config } => check(config),
--- a/crates/router/src/protocol/statement.rs
+++ b/crates/router/src/protocol/statement.rs
@@ -97,6 +97,9 @@
     let need = |name: &str, what: &str| {
         format!("field {name}: expected {what}, got \"{}\"", field(name).unwrap_or(""))
     };
+    if statement.trim_ascii().is_empty() {
+        return Err("the statement is empty".to_string());
+    }
     Ok(Request {
         id: field("call").filter(hex).ok_or_else(|| need("call", "16 hex digits"))?.to_string(),
         category: field("op").filter(plain).ok_or_else(|| need("op", "a category"))?.to_string(),
@@ -326,3 +329,118 @@
         _ => "",
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const FIELDS: &str = "op=report,call=9b1f03aa5c7e2d41,ttl=1500";
+
+    fn job(text: &str) -> Request {
+        match read(text.as_bytes()) {
+            Ok(Asked::Job(request)) => request,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    #[test]
+    fn the_fields_are_taken_off_and_the_rest_goes_on_byte_for_byte() {
+        let rest = "SELECT 'é\\'', \"/* op=x */\"  FROM sales_17.orders -- end";
+        let request = job(&format!("/* {FIELDS},org=acme,rep=1,dedupe=5c0f,work=820.0,mb=96 */ {rest}"));
+        assert_eq!(request.statement, rest.as_bytes());
+        assert_eq!((request.id.as_str(), request.category.as_str()), ("9b1f03aa5c7e2d41", "report"));
+        assert_eq!((request.patience, request.receipt.as_deref()), (1.5, Some("5c0f")));
+        assert_eq!(
+            (request.work, request.memory_mb, request.table_group),
+            (Some(0.82), Some(96.0), Some(17))
+        );
+    }
+
+    #[test]
+    fn odd_optional_fields_are_absent() {
+        for odd in ["", ",work=,mb=", ",work=much,mb=-3", ",work=NaN,mb=inf,dedupe=a b", ",,=,work"] {
+            let request = job(&format!("/*{FIELDS}{odd}*/SELECT 1 FROM a_1.b"));
+            assert_eq!((request.work, request.memory_mb, request.receipt), (None, None, None), "{odd}");
+        }
+    }
+
+    #[test]
+    fn a_request_that_no_job_can_be_made_of_says_why() {
+        for (text, why) in [
+            ("/* op=report,ttl=1500 */ SELECT 1", "field call: expected 16 hex digits, got \"\""),
+            ("/* call=9b1f03aa5c7e2d41,ttl=1500 */ SELECT 1", "field op: expected a category, got \"\""),
+            (
+                "/* op=r,call=9b1f03aa5c7e2d41,ttl=soon */ SELECT 1",
+                "field ttl: expected milliseconds, got \"soon\"",
+            ),
+            ("/* op=r,call=xyz,ttl=1 */ SELECT 1", "field call: expected 16 hex digits, got \"xyz\""),
+            ("/* op=r,call=9b1f03aa5c7e2d41,ttl=9 */", "the statement is empty"),
+        ] {
+            assert_eq!(read(text.as_bytes()), Err(why.to_string()));
+        }
+        assert!(read(b"SELECT day FROM sales_17.orders").unwrap_err().contains("no fields comment"));
+        assert!(read(b"/* op=report").is_err() && read(b"").is_err() && read(b"\xff\xfe").is_err());
+    }
+
+    #[test]
+    fn the_table_group_is_that_of_the_schema_read_or_written() {
+        for (text, group) in [
+            (
+                "SELECT day, count(*), max(note) FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day",
+                Some(17),
+            ),
+            ("select * from `sales_17`.`orders`", Some(17)),
+            ("SELECT 1 FROM Sales_9 . orders", Some(9)),
+            ("SELECT 'FROM a_1.b', \"x_2.y\" FROM c_3.d", Some(3)),
+            ("SELECT 'it''s \\' FROM a_1.b' FROM c_3.d", Some(3)),
+            ("SELECT 1 /* FROM a_1.b */ -- a_2.b\n # a_4.b\n FROM c_3.d", Some(3)),
+            ("SELECT 1--1 FROM c_3.d", Some(3)),
+            ("INSERT INTO sales_5.t SELECT * FROM staging.u", Some(5)),
+            ("INSERT INTO staging.t SELECT * FROM sales_6.u", Some(6)),
+            ("INSERT sales_5.t VALUES (1)", Some(5)),
+            ("REPLACE INTO `sales_5`.t VALUES ('staging.x')", Some(5)),
+            ("UPDATE LOW_PRIORITY sales_7.t SET a = 1", Some(7)),
+            ("DELETE FROM sales_8.t WHERE x_1.y = 2", Some(8)),
+            ("SELECT t_5.day FROM sales_17.orders AS t_5", Some(17)),
+            ("SELECT t_5.day FROM staging.a t_5 JOIN sales_17.b ON t_5.x = b.y", Some(17)),
+            ("SELECT EXTRACT(DAY FROM t_5.d) FROM sales_17.orders t_5", Some(17)),
+            ("SELECT * FROM (SELECT * FROM sales_4.o) x_9 WHERE x_9.a = 1", Some(4)),
+            ("SELECT * FROM staging.a, sales_2.b", Some(2)),
+            ("SELECT * FROM (staging.a JOIN sales_2.b)", Some(2)),
+            ("LOAD DATA INFILE 'x_1.y' INTO TABLE sales_3.t", Some(3)),
+            ("SELECT /*!40001 SQL_NO_CACHE */ * FROM sales_3.t", Some(3)),
+            ("SELECT 1.5, a_1 FROM orders_17", None),
+            ("SELECT * FROM sales_x.t, sales_.t, _.t, sales.t_4", None),
+            ("SELECT * FROM sales_99999999999999999999999.t", None),
+            ("SELECT 'unclosed FROM a_1.b", None),
+            ("", None),
+        ] {
+            assert_eq!(table_group(text.as_bytes()), group, "{text}");
+        }
+    }
+
+    #[test]
+    fn what_drivers_send_at_their_start_is_answered() {
+        let asked = |text: &str| read(text.as_bytes()).unwrap();
+        for text in ["SET NAMES utf8mb4", "set autocommit=0", "USE reports", "COMMIT", "/* x */ ROLLBACK"] {
+            assert_eq!(asked(text), Asked::Harmless, "{text}");
+        }
+        assert_eq!(asked("SHOW VARIABLES LIKE 'x'"), Asked::Nothing);
+        let values =
+            asked("/* mysql-connector-j */SELECT @@session.autocommit AS a, @@version_comment LIMIT 1");
+        let text = |name: &str, value: &str| (name.to_string(), Value::Text(value.to_string()));
+        assert_eq!(values, Asked::Values(vec![text("a", "1"), text("@@version_comment", "cleatgw")]));
+        assert_eq!(asked("SELECT 1"), Asked::Values(vec![text("1", "1")]));
+        let id = Asked::Values(vec![("CONNECTION_ID()".to_string(), Value::SessionId)]);
+        assert_eq!(asked("SELECT CONNECTION_ID()"), id);
+    }
+
+    #[test]
+    fn kills_name_a_session() {
+        let kill = |session, query_only| Ok(Asked::Kill { session, query_only });
+        assert_eq!(read(b"KILL QUERY 12"), kill(12, true));
+        assert_eq!(read(b"kill connection 12;"), kill(12, false));
+        assert_eq!(read(b"KILL 12"), kill(12, false));
+        assert!(read(b"KILL QUERY").is_err() && read(b"KILL -4").is_err());
+    }
+}
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -10,7 +10,7 @@
 use cleatgw::{Deployment, Effect, Ending, Listing, Load, PushEnd, Stage, Taken, Writer};
 use cleatgw_start::{flat, index_of, name_hash, Names};
 pub use counters::Counters;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
@@ -67,15 +67,18 @@
 /// What routing asks of the connections.
 pub trait Peers {
     fn answer(&mut self, session: SessionId, answer: Answer);
-    fn push(&mut self, push: PushId, engine: usize, address: SocketAddr, ask: &Ask);
+    fn push(&mut self, push: PushId, engine: u64, address: SocketAddr, ask: &Ask);
     fn change_lane(&mut self, push: PushId, lane: u8);
     /// Gives a push up, and tells how far it had come.
     fn give_up(&mut self, push: PushId) -> Failure;
     /// Closes the connections to an engine that carry nothing.
-    fn close_idle(&mut self, engine: usize);
+    fn close_idle(&mut self, engine: u64);
 }
 
+/// One engine on the list. Its number is its own for good; its index goes to another once it has gone.
 struct Engine {
+    uid: String,
+    number: u64,
     address: SocketAddr,
     listing: Listing,
 }
@@ -123,9 +126,9 @@
     names: Names,
     seed: u64,
     desk: Desk,
-    engine_of: HashMap<String, usize>,
     next_job: usize,
-    stops_at: Option<f64>,
+    next_engine: u64,
+    stops_at: f64,
     listed: bool,
 }
 
@@ -174,6 +177,19 @@
         }
     }
 
+    /// The index of an engine that has gone, with nothing of ours left on it.
+    fn spare_index(&self) -> Option<usize> {
+        let states = self.jobs.values().flat_map(|job| &job.pushes);
+        let used: HashSet<usize> = states
+            .filter_map(|push| match push {
+                PushState::Out { engine, .. } => Some(*engine),
+                PushState::Over => None,
+            })
+            .collect();
+        let gone = |at: &usize| self.engines[*at].listing.stage == Stage::Gone && !used.contains(at);
+        (0..self.engines.len()).find(gone)
+    }
+
     fn pushes_out(&self, job: usize) -> Vec<PushId> {
         let pushes = self.jobs.get(&job).map_or(&[][..], |job| &job.pushes);
         let out = pushes.iter().enumerate().filter(|(_, push)| matches!(push, PushState::Out { .. }));
@@ -252,7 +268,7 @@
                 lane: job.lane,
                 statement: &job.request.statement,
             };
-            self.peers.push(push, at, engine.address, &ask);
+            self.peers.push(push, engine.number, engine.address, &ask);
             desk.counters.pushes += 1;
             desk.due.insert((order(until), push));
         } else {
@@ -288,7 +304,9 @@
     fn tell(&mut self, _peer: Option<usize>, _content: &[u8]) {}
 
     fn close(&mut self, engine: usize) {
-        self.peers.close_idle(engine);
+        if let Some(engine) = self.desk.engines.get(engine) {
+            self.peers.close_idle(engine.number);
+        }
     }
 
     fn wake(&mut self, at: f64) {
@@ -326,9 +344,9 @@
             names,
             seed,
             desk,
-            engine_of: HashMap::new(),
             next_job: 0,
-            stops_at: None,
+            next_engine: 0,
+            stops_at: f64::INFINITY,
             listed: false,
         }
     }
@@ -349,7 +367,9 @@
 
     /// This instance ends then: no job has longer.
     pub fn stop_at(&mut self, at: f64) {
-        self.stops_at = Some(at);
+        self.stops_at = at;
+        self.gateway.stop_at(at);
+        self.desk.jobs.values_mut().for_each(|job| job.cut_off = job.cut_off.min(at));
     }
 
     /// One turn: all news in, one round, and what was decided carried out. Returns what is wrong with jobs that
@@ -407,10 +427,10 @@
     }
 
     fn listing(&mut self, entry: Entry) -> Listing {
-        let known = self.engine_of.get(&entry.uid).copied();
-        let engine = known.unwrap_or(self.desk.engines.len());
+        let known = self.desk.engines.iter().position(|engine| engine.uid == entry.uid);
+        let at = known.or_else(|| self.desk.spare_index()).unwrap_or(self.desk.engines.len());
         let listing = Listing {
-            engine,
+            engine: at,
             name_hash: name_hash(&entry.uid),
             zone: index_of(&mut self.names.zones, &entry.zone),
             kind: index_of(&mut self.names.kinds, &entry.kind),
@@ -418,12 +438,17 @@
             since: entry.since,
             stage: entry.stage,
         };
+        let engines = &mut self.desk.engines;
         if known.is_none() {
-            self.engine_of.insert(entry.uid.clone(), engine);
-            log::info!("engine {engine} is {} at {}", entry.uid, entry.address);
-            self.desk.engines.push(Engine { address: entry.address, listing });
+            log::info!("engine {at} is {} at {}", entry.uid, entry.address);
+            self.next_engine += 1;
+            let engine = Engine { uid: entry.uid, number: self.next_engine, address: entry.address, listing };
+            match engines.get_mut(at) {
+                Some(gone) => *gone = engine,
+                None => engines.push(engine),
+            }
         }
-        self.desk.engines[engine].address = entry.address;
+        engines[at].address = entry.address;
         listing
     }
 
@@ -440,7 +465,7 @@
             return Err(format!("field dedupe: expected a mark against repeats, as {name} needs one"));
         }
         let now = self.desk.now;
-        let cut_off = (now + request.patience).min(self.stops_at.unwrap_or(f64::INFINITY));
+        let cut_off = (now + request.patience).min(self.stops_at);
         let id = self.next_job;
         self.next_job += 1;
         let taken = Taken {
@@ -449,7 +474,7 @@
             table_group: request.table_group.map_or(0, |group| (group as f64).to_bits()),
             cost: request.work,
             memory_mb: request.memory_mb,
-            cut_off,
+            cut_off: now + request.patience,
         };
         let state = JobState::Open { session };
         let job = Job { request, state, cut_off, lane: 1, grant_mb: 0.0, pushes: Vec::new() };
@@ -509,6 +534,7 @@
         self.desk.due.clear();
         self.seed = self.seed.wrapping_add(1);
         self.gateway = Gateway::new(self.deployment.clone(), self.seed, self.desk.now);
+        self.gateway.stop_at(self.stops_at);
         let listings: Vec<Listing> = self.desk.engines.iter().map(|engine| engine.listing).collect();
         self.gateway.engines_listed(self.desk.now, &listings, true);
         self.desk.wake = self.desk.now;
--- a/crates/router/src/transport/engine.rs
+++ b/crates/router/src/transport/engine.rs
@@ -4,6 +4,7 @@
 use crate::protocol::engine::{self, Malformed, Pages, Word};
 use crate::routing::{Failure, Outcome, PushId, Reply};
 use calloop::RegistrationToken;
+use cleatgw_start::Links;
 use std::collections::{HashMap, HashSet};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -13,6 +14,9 @@
 /// Ids given up on a connection are kept for as long as it lives, as their answers may still come; with so many
 /// of them it takes nothing new.
 const MOST_GIVEN_UP: usize = 1000;
+/// So long without a sign, an engine with pushes out is asked for one.
+const QUIET: f64 = 1.0;
+const SIGN: &str = "sign";
 /// An idle connection is left alone so much of its time before its engine would close it.
 const IDLE_CAUTION: f64 = 0.9;
 
@@ -30,7 +34,7 @@
 
 pub struct Link {
     pub token: RegistrationToken,
-    pub engine: usize,
+    pub engine: u64,
     pub address: SocketAddr,
     stream: Rc<TcpStream>,
     state: State,
@@ -43,8 +47,9 @@
     written: u64,
     readable: bool,
     idle_since: f64,
-    /// Nothing new goes on it.
-    pub retired: bool,
+    /// When its engine last gave a sign, and when it was asked for one since.
+    heard_at: f64,
+    asked_at: Option<f64>,
     pub answers_dropped: u64,
 }
 
@@ -80,7 +85,7 @@
 impl Link {
     pub fn new(
         token: RegistrationToken,
-        engine: usize,
+        engine: u64,
         address: SocketAddr,
         stream: Rc<TcpStream>,
         until: f64,
@@ -99,7 +104,8 @@
             written: 0,
             readable: false,
             idle_since: until,
-            retired: false,
+            heard_at: until,
+            asked_at: None,
             answers_dropped: 0,
         }
     }
@@ -113,12 +119,35 @@
     }
 
     /// It can take a push under this id: answers to an earlier one under it cannot be mistaken for its own.
-    pub fn takes(&self, id: &str, most: usize, idle_after: f64, now: f64) -> bool {
-        let stale = self.carries() == 0 && now > self.idle_since + idle_after * IDLE_CAUTION;
+    pub fn takes(&self, id: &str, stated: &Links, now: f64) -> bool {
+        let stale = self.carries() == 0 && now > self.idle_since + stated.idle_after * IDLE_CAUTION;
         let known = self.given_up.contains(id)
             || self.exchanges.contains_key(id)
             || self.waiting.iter().any(|(waiting, ..)| waiting == id);
-        !self.retired && !stale && !known && self.carries() < most && self.given_up.len() < MOST_GIVEN_UP
+        let full = self.carries() >= stated.pushes_each || self.given_up.len() >= MOST_GIVEN_UP;
+        !full && !stale && !known && !self.mute(stated, now)
+    }
+
+    /// No sign came in time: its machine may have vanished, and a new connection shows whether it has.
+    fn mute(&self, stated: &Links, now: f64) -> bool {
+        self.asked_at.is_some_and(|asked| now > asked + stated.connect_time_out)
+    }
+
+    /// Nothing is lost with it.
+    pub fn useless(&self, stated: &Links, now: f64) -> bool {
+        self.carries() == 0 && self.mute(stated, now)
+    }
+
+    /// Asks for a sign of its engine, if none has come for long and pushes wait there.
+    pub fn ask(&mut self, now: f64) -> io::Result<()> {
+        if self.up() && self.asked_at.is_none() && self.carries() > 0 && now > self.heard_at + QUIET {
+            self.asked_at = Some(now);
+            let mut bytes = Vec::new();
+            engine::ping(&mut bytes, SIGN);
+            self.put(&bytes);
+            self.flush()?;
+        }
+        Ok(())
     }
 
     /// When it must be looked at, whatever comes.
@@ -137,7 +166,7 @@
         if self.up() {
             self.send_waiting(now)?;
         }
-        Ok(())
+        self.ask(now)
     }
 
     fn send_waiting(&mut self, now: f64) -> io::Result<()> {
@@ -207,7 +236,7 @@
             if self.stream.peer_addr().is_err() {
                 return if now < until { Ok(()) } else { Err(Broken::Io(io::ErrorKind::TimedOut.into())) };
             }
-            self.state = State::Up;
+            (self.state, self.heard_at) = (State::Up, now);
             self.send_waiting(now)?;
         }
         self.flush()?;
@@ -215,7 +244,11 @@
             return Ok(());
         }
         // What is more than this is for the next turn, so that one engine does not starve the others.
+        let before = self.buffer.input().len();
         let reached = self.buffer.read(&*self.stream, MOST_INPUT)?;
+        if self.buffer.input().len() > before {
+            (self.heard_at, self.asked_at) = (now, None);
+        }
         self.readable = reached == Reached::More;
         self.answers(now, ends)?;
         self.flush()?;
--- a/crates/router/src/transport/links.rs
+++ b/crates/router/src/transport/links.rs
@@ -1,13 +1,12 @@
 //! All connections to engines: opened as pushes need them, shared by them, closed when idle.
 
 use super::engine::{Broken, Link};
-use super::{connect, out_of_descriptors, Handle, Source};
+use super::{connect, guarded, out_of_descriptors, Handle, Source};
 use crate::protocol::engine::Ask;
 use crate::routing::{Counters, Failure, Outcome, PushId};
 use calloop::Readiness;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::panic::{catch_unwind, AssertUnwindSafe};
 
 pub struct Links {
     handle: Handle,
@@ -35,10 +34,9 @@
         }
     }
 
-    pub fn push(&mut self, push: PushId, engine: usize, address: SocketAddr, ask: &Ask, now: f64) {
-        let (most, idle) = (self.stated.pushes_each, self.stated.idle_after);
+    pub fn push(&mut self, push: PushId, engine: u64, address: SocketAddr, ask: &Ask, now: f64) {
         let here = |link: &Link| link.engine == engine && link.address == address;
-        let fit = self.links.iter().filter(|(_, link)| here(link) && link.takes(ask.id, most, idle, now));
+        let fit = self.links.iter().filter(|(_, link)| here(link) && link.takes(ask.id, &self.stated, now));
         let id = match fit.max_by_key(|(&id, link)| (link.up(), id)).map(|(&id, _)| id) {
             Some(id) => id,
             None => match self.open(engine, address, now) {
@@ -53,7 +51,7 @@
         }
     }
 
-    fn open(&mut self, engine: usize, address: SocketAddr, now: f64) -> Result<u64, Failure> {
+    fn open(&mut self, engine: u64, address: SocketAddr, now: f64) -> Result<u64, Failure> {
         if self.links.len() >= self.most && !self.make_room() {
             self.counters.descriptors_short += 1;
             return Err(Failure::NeverSent);
@@ -102,25 +100,34 @@
             _ if !link.up() => self.counters.links_failed += 1,
             _ => {}
         }
-        log::debug!("engine {} at {}: {why}, with {} pushes", link.engine, link.address, link.carries());
+        let level = if link.carries() > 0 { log::Level::Info } else { log::Level::Debug };
+        log::log!(level, "engine {} at {}: {why}, with {} pushes", link.engine, link.address, link.carries());
         self.close(id);
     }
 
     pub fn work(&mut self, id: u64, readiness: Readiness, now: f64) {
         let Some(link) = self.links.get_mut(&id) else { return };
         let ends = &mut self.ends;
-        let work = || link.work(readiness.readable, readiness.writable, now, ends);
-        match catch_unwind(AssertUnwindSafe(work)) {
-            Ok(Ok(())) => {}
-            Ok(Err(why)) => self.broken(id, why),
-            Err(_) => {
-                log::error!("engine {}: its connection failed and is closed", link.engine);
+        let worked = guarded("an engine", || link.work(readiness.readable, readiness.writable, now, ends));
+        match worked {
+            Some(Ok(())) => {}
+            Some(Err(why)) => self.broken(id, why),
+            None => {
                 self.counters.panics += 1;
                 self.close(id);
             }
         }
     }
 
+    /// A push could not be made: the connection that it was on ends, and it may have gone out.
+    pub fn failed(&mut self, push: PushId) {
+        self.counters.panics += 1;
+        match self.link_of.get(&push) {
+            Some(&id) => self.close(id),
+            None => self.ends.push((push, Err(Failure::NeverSent))),
+        }
+    }
+
     /// Connections that did not come up, or have been idle for too long.
     pub fn time_passed(&mut self, now: f64) {
         let idle = self.stated.idle_after;
@@ -136,6 +143,19 @@
         }
     }
 
+    /// Asks engines that are silent for a sign, and lets go of connections that have given none.
+    pub fn sweep(&mut self, now: f64) {
+        for id in self.links.keys().copied().collect::<Vec<_>>() {
+            let link = self.links.get_mut(&id).expect("just seen");
+            if link.useless(&self.stated, now) {
+                log::info!("engine {} at {}: silent, closed", link.engine, link.address);
+                self.close(id);
+            } else if let Err(error) = link.ask(now) {
+                self.broken(id, Broken::Io(error));
+            }
+        }
+    }
+
     pub fn due(&self) -> f64 {
         self.links.values().map(|link| link.due(self.stated.idle_after)).fold(f64::INFINITY, f64::min)
     }
@@ -178,7 +198,7 @@
         }
     }
 
-    pub fn close_idle(&mut self, engine: usize) {
+    pub fn close_idle(&mut self, engine: u64) {
         let idle = self.links.iter().filter(|(_, link)| link.engine == engine && link.carries() == 0);
         idle.map(|(&id, _)| id).collect::<Vec<_>>().into_iter().for_each(|id| self.close(id));
     }
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -7,6 +7,7 @@
 mod links;
 mod sessions;
 
+use crate::protocol::engine::Ask;
 use crate::routing::{Answer, Counters, Failure, News, Peers, PushId, Routing, SessionId};
 use board::BoardLink;
 use calloop::generic::Generic;
@@ -18,6 +19,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::os::fd::AsFd;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -81,6 +83,12 @@
     short.iter().any(|errno| error.raw_os_error() == Some(errno.raw_os_error()))
 }
 
+/// Work on one connection: a panic in it stops there, and gives nothing back.
+fn guarded<T>(what: &str, work: impl FnOnce() -> T) -> Option<T> {
+    let done = catch_unwind(AssertUnwindSafe(work));
+    done.inspect_err(|_| log::error!("{what} failed, its connection is closed")).ok()
+}
+
 /// What a router is told at its start, beside what its decisions are told.
 pub struct Place {
     pub listen: SocketAddr,
@@ -100,11 +108,17 @@
 
 impl Peers for Net {
     fn answer(&mut self, session: SessionId, answer: Answer) {
-        self.sessions.answer(session, answer, self.now);
+        let Net { sessions, now, .. } = self;
+        if guarded("an answer", || sessions.answer(session, answer, *now)).is_none() {
+            sessions.failed(session);
+        }
     }
 
-    fn push(&mut self, push: PushId, engine: usize, address: SocketAddr, ask: &crate::protocol::engine::Ask) {
-        self.links.push(push, engine, address, ask, self.now);
+    fn push(&mut self, push: PushId, engine: u64, address: SocketAddr, ask: &Ask) {
+        let Net { links, now, .. } = self;
+        if guarded("a push", || links.push(push, engine, address, ask, *now)).is_none() {
+            links.failed(push);
+        }
     }
 
     fn change_lane(&mut self, push: PushId, lane: u8) {
@@ -115,7 +129,7 @@
         self.links.give_up(push, self.now)
     }
 
-    fn close_idle(&mut self, engine: usize) {
+    fn close_idle(&mut self, engine: u64) {
         self.links.close_idle(engine);
     }
 }
@@ -130,6 +144,8 @@
     again: Vec<Source>,
     sweep_at: f64,
     serving: bool,
+    /// When this turn was due, if nothing became ready before.
+    wake: f64,
     /// When the router was told to stop, and by when it must have.
     stopping: Option<(f64, f64)>,
     longest_job: f64,
@@ -160,18 +176,19 @@
         news,
         again: Vec::new(),
         sweep_at: now,
+        wake: f64::INFINITY,
         serving: false,
         stopping: None,
         longest_job,
     };
     let mut ready = Ready::default();
     loop {
-        let wake = server.turn(&mut ready);
+        server.turn(&mut ready);
         if server.stopped() {
             let counters = server.counters();
             return Ok(counters);
         }
-        let wait = (wake - clock()).clamp(0.0, 1.0);
+        let wait = (server.wake - clock()).clamp(0.0, 1.0);
         match event_loop.dispatch(Some(Duration::from_secs_f64(wait)), &mut ready) {
             Err(calloop::Error::IoError(error)) if error.kind() != io::ErrorKind::Interrupted => {
                 return Err(error)
@@ -183,11 +200,11 @@
 }
 
 impl Server {
-    /// Returns when the next turn is due, if nothing becomes ready before.
-    fn turn(&mut self, ready: &mut Ready) -> f64 {
+    fn turn(&mut self, ready: &mut Ready) {
         // A clock that is set back must not hold anything up.
         let now = clock().max(self.net.now);
         self.net.now = now;
+        let overslept = ((now - self.wake).max(0.0) * 1e6) as u64;
         let mut sources = std::mem::take(&mut ready.sources);
         let unfinished = std::mem::take(&mut self.again).into_iter();
         sources.extend(unfinished.map(|source| (source, Readiness::EMPTY)));
@@ -223,14 +240,15 @@
         self.again.extend(self.net.sessions.unfinished());
         self.again.extend(self.net.links.unfinished());
         self.again.extend(self.board.unfinished().then_some(Source::Board));
+        self.again.extend(self.net.sessions.accepts_more().then_some(Source::Listener));
         let counters = self.routing.counters();
         counters.turns += 1;
         counters.longest_turn_us = counters.longest_turn_us.max(((clock() - now) * 1e6) as u64);
-        if !self.again.is_empty() || self.net.links.has_ended() {
-            return now;
-        }
+        counters.latest_wake_us = counters.latest_wake_us.max(overslept);
         let stop = self.stopping.map_or(f64::INFINITY, |(at, last)| if now < at { at } else { last });
-        wake.min(self.sweep_at).min(self.board.due()).min(self.net.links.due()).min(stop)
+        let due = [wake, self.sweep_at, self.board.due(), self.net.links.due(), stop];
+        let at_once = !self.again.is_empty() || self.net.links.has_ended();
+        self.wake = if at_once { now } else { due.into_iter().fold(f64::INFINITY, f64::min) };
     }
 
     fn counters(&mut self) -> Counters {
@@ -262,7 +280,9 @@
 
     fn board(&mut self, readiness: Readiness, now: f64) {
         let (readable, writable) = (readiness.readable, readiness.writable);
-        if let Err(why) = self.board.work(readable, writable, now, &mut self.news.lists) {
+        let (board, lists) = (&mut self.board, &mut self.news.lists);
+        let worked = guarded("the notice board's link", || board.work(readable, writable, now, lists));
+        if let Err(why) = worked.unwrap_or(Err("failed".to_string())) {
             if let Some(token) = self.board.lost(&why, now) {
                 self.handle.remove(token);
             }
@@ -286,6 +306,7 @@
         if now >= self.sweep_at {
             self.sweep_at = now + SWEEP;
             self.net.sessions.sweep(now, &mut self.news);
+            self.net.links.sweep(now);
         }
     }
 }
--- a/crates/router/src/transport/sessions.rs
+++ b/crates/router/src/transport/sessions.rs
@@ -1,7 +1,7 @@
 //! All client sessions: the listener, how many there may be, and what each of them asks.
 
 use super::client::{Heard, Session};
-use super::{out_of_descriptors, watch, Handle, Source};
+use super::{guarded, out_of_descriptors, watch, Handle, Source};
 use crate::protocol::mysql;
 use crate::routing::{Answer, Counters, News, SessionId};
 use calloop::{Readiness, RegistrationToken};
@@ -9,7 +9,6 @@
 use std::collections::HashMap;
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener};
-use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 
 const BACKLOG: i32 = 1024;
@@ -131,21 +130,20 @@
         if readiness.readable || readiness.writable {
             session.ready(readiness.readable, now);
         }
-        let worked = catch_unwind(AssertUnwindSafe(|| session.work(serving)));
-        let closed = session.closed();
+        let worked = guarded("a session", || session.work(serving));
+        let mut closed = session.closed();
         match worked {
-            Ok(Ok(None)) => {}
-            Ok(Ok(Some(Heard::Asked(request)))) => news.asked.push((id, request)),
-            Ok(Ok(Some(Heard::Kill { session, query_only }))) => self.kills.push((id, session, query_only)),
-            Ok(Ok(Some(Heard::Counters))) => self.curious.push(id),
-            Ok(Err(error)) => {
+            Some(Ok(None)) => {}
+            Some(Ok(Some(Heard::Asked(request)))) => news.asked.push((id, request)),
+            Some(Ok(Some(Heard::Kill { session, query_only }))) => self.kills.push((id, session, query_only)),
+            Some(Ok(Some(Heard::Counters))) => self.curious.push(id),
+            Some(Err(error)) => {
                 log::debug!("session {id}: {error}");
-                return self.end(id, news);
+                closed = true;
             }
-            Err(_) => {
-                log::error!("session {id} failed and is closed");
+            None => {
                 self.counters.panics += 1;
-                return self.end(id, news);
+                closed = true;
             }
         }
         if closed {
@@ -186,6 +184,12 @@
         }
     }
 
+    /// Its answer could not be made: it ends, so that its client can tell.
+    pub fn failed(&mut self, id: SessionId) {
+        self.counters.panics += 1;
+        self.remove(id);
+    }
+
     pub fn unusable(&mut self, id: SessionId, why: &str, now: f64) {
         log::debug!("session {id}: {why}");
         if let Some(session) = self.sessions.get_mut(&id) {
@@ -218,6 +222,11 @@
         }
     }
 
+    /// Connections wait to be accepted, and there is room for them.
+    pub fn accepts_more(&self) -> bool {
+        self.accepts && (self.sessions.len() < self.most || self.sessions.values().any(Session::spare))
+    }
+
     pub fn unsent(&self) -> usize {
         self.sessions.values().map(Session::unsent).sum()
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -222,10 +222,9 @@
 impl Learned {
     /// How much longer a job takes with a quarter of its memory.
     fn spill_factor(&self) -> f64 {
-        if self.quarter_pace.weight < 3.0 || self.pace.weight < 3.0 {
-            return 2.0;
-        }
-        (self.quarter_pace.or(2.0) / self.pace.or(1.0)).clamp(1.0, 8.0)
+        let known = self.quarter_pace.weight.min(self.pace.weight) >= 3.0;
+        let ratio = self.quarter_pace.or(2.0) / self.pace.or(1.0);
+        Some(ratio.clamp(1.0, 8.0)).filter(|_| known).unwrap_or(2.0)
     }
 
     fn pace(&self) -> f64 {
@@ -384,6 +383,8 @@
     next_tick: f64,
     armed: Option<f64>,
     watch_at: Option<f64>,
+    /// When our instance ends, as far as we are told.
+    stop: f64,
     /// When the last job was turned back, while that mode lasts.
     turning_back: Option<f64>,
     log: Vec<String>,
@@ -406,6 +407,7 @@
             learned: vec![Learned::default(); given.categories.len()],
             watch_at: given.ask_within.map(|_| now),
             next_tick: now + TICK,
+            stop: f64::INFINITY,
             seed,
             given,
             ..Gateway::default()
@@ -415,11 +417,10 @@
     pub fn engines_listed(&mut self, now: f64, listings: &[Listing], whole: bool) {
         self.engines.iter_mut().filter(|_| whole).for_each(|engine| engine.at.stage = Stage::Gone);
         for &listing in listings {
-            if self.engines.len() <= listing.engine {
-                self.engines.resize_with(listing.engine + 1, EngineState::default);
-            }
+            self.engines.resize_with(self.engines.len().max(listing.engine + 1), EngineState::default);
             let state = &mut self.engines[listing.engine];
-            if state.cores == 0.0 || state.at.since != listing.since {
+            let is = |listing: &Listing| (listing.since, listing.name_hash);
+            if state.cores == 0.0 || is(&state.at) != is(&listing) {
                 // New or started anew: nothing learned of it holds, but what we sent is still out.
                 let kind = self.given.kinds.get(listing.kind);
                 let whole = kind.map_or(0.0, |kind| kind.memory_mb);
@@ -479,10 +480,24 @@
         if let Some(key) = taken.key {
             self.keys.entry(key).or_default().jobs.push_back(id);
         }
-        self.due.insert((rank(taken.cut_off), Due::CutOff(id)));
-        self.due.insert((rank(self.last_start(&job)), Due::TooLate(id)));
         self.held.insert(job.turn(id));
         self.jobs.insert(id, job);
+        self.time_ends(id, self.stop);
+    }
+
+    /// Our instance ends then: no job has longer.
+    pub fn stop_at(&mut self, stop: f64) {
+        self.stop = stop;
+        let open: Vec<usize> = self.jobs.keys().copied().collect();
+        open.into_iter().for_each(|id| self.time_ends(id, stop));
+    }
+
+    fn time_ends(&mut self, id: usize, stop: f64) {
+        let job = self.jobs.get_mut(&id).expect("a job that was taken");
+        (job.taken.cut_off, job.expected_at) = (job.taken.cut_off.min(stop), job.expected_at.min(stop));
+        let job = &self.jobs[&id];
+        self.due.insert((rank(job.taken.cut_off), Due::CutOff(id)));
+        self.due.insert((rank(self.last_start(job)), Due::TooLate(id)));
     }
 
     pub fn push_noted(&mut self, now: f64, id: usize, note: Note) {
@@ -570,10 +585,9 @@
                 learned.memory_by_estimate.add(job.taken.memory_mb, memory);
             }
         }
-        if matches!(end.ending, Ending::TimedOut | Ending::Broken | Ending::CalledOff) {
-            if let Some(line) = key.and_then(|key| self.keys.get_mut(&key)) {
-                line.rests_until = line.rests_until.max(now + self.given.key_rest);
-            }
+        let may_run = matches!(end.ending, Ending::TimedOut | Ending::Broken | Ending::CalledOff);
+        if let Some(line) = key.filter(|_| may_run).and_then(|key| self.keys.get_mut(&key)) {
+            line.rests_until = line.rests_until.max(now + self.given.key_rest);
         }
         self.settle(end.job, index);
         if end.job_over {
@@ -601,8 +615,7 @@
     }
 
     pub fn round(&mut self, now: f64, out: &mut dyn Writer) {
-        if self.watch_at.is_some_and(|at| now >= at) {
-            self.watch_at = None;
+        if self.watch_at.take_if(|at| now >= *at).is_some() {
             out.watch(true);
         }
         if now >= self.next_tick {
@@ -611,10 +624,7 @@
         }
         // Jobs are tried before they are found too late: room may just have come free.
         self.push_held(now, out);
-        while let Some(&(at, due)) = self.due.first() {
-            if at > rank(now) {
-                break;
-            }
+        while let Some((_, due)) = self.due.first().copied().filter(|&(at, _)| at <= rank(now)) {
             self.due.pop_first();
             match due {
                 Due::CutOff(id) => self.end(id, out),
@@ -622,9 +632,7 @@
                 Due::Overdue(id, push) => self.overdue(now, id, push, out),
             }
         }
-        for line in self.log.drain(..) {
-            out.log(&line);
-        }
+        self.log.drain(..).for_each(|line| out.log(&line));
         let next = self.due.first().map_or(f64::INFINITY, |&(at, _)| f64::from_bits(at));
         let next = next.min(self.next_tick).min(self.watch_at.unwrap_or(f64::INFINITY));
         if self.armed.is_none_or(|at| at <= now || next < at) {
@@ -657,8 +665,8 @@
             let doubted = engine.doubt.mean() < Doubt::TRUST;
             if std::mem::replace(&mut engine.doubt.doubted, doubted) != doubted {
                 let word = if doubted { "doubted" } else { "trusted" };
-                let Mean { sum, weight } = engine.doubt.good;
-                self.log.push(format!("engine {id} {word}: {sum:.1} good of {weight:.1}"));
+                let (good, of) = (engine.doubt.good.sum, engine.doubt.good.weight);
+                self.log.push(format!("engine {id} {word}: {good:.1} good of {of:.1}"));
             }
             let cold = Self::warmth(&self.given.cold, engine, now) < 1.0;
             if std::mem::replace(&mut engine.cold, cold) != cold {
@@ -667,10 +675,14 @@
             }
         }
         let window = self.repeat_budget().window.max(1.0);
+        // Tables that clients' groups and keys fill are kept small.
+        if self.orders.len() > 1000 {
+            self.orders.clear();
+        }
+        self.keys.retain(|_, line| !line.jobs.is_empty() || now < line.rests_until);
         self.taken_at.retain(|&at| at >= now - window);
         self.repeats.retain(|&at| at >= now - window);
-        if self.turning_back.is_some_and(|last| now > last + 5.0) {
-            self.turning_back = None;
+        if self.turning_back.take_if(|last| now > *last + 5.0).is_some() {
             self.log.push(format!("turning none back: {} held", self.held.len()));
         }
     }
@@ -775,8 +787,8 @@
         // Reports lag: no gateway takes more than twice its share. Without any, most may come from one.
         let ours = (engine.threads + threads) / engine.cores;
         let share = (2.0 / self.given.gateways).max(if engine.room.tells { 0.0 } else { 0.6 });
-        // What we hold nothing on tells us nothing more: a light job finds out, unless gateways are so many that
-        // theirs would fill it. What was felt of peers in a slow spell kept us off sound engines for long.
+        // Where we hold nothing, nothing is told: a light job finds out, unless all gateways' would fill it.
+        // What was felt of peers in a slow spell kept us off sound engines for long.
         let finds_out = light && engine.pushes == 0 && self.given.gateways * threads <= engine.cores;
         finds_out
             || (engine.pushes == 0 || ours <= share * limit)
@@ -831,16 +843,12 @@
             }
         };
         let mut ran = job.pushes.iter().filter(|push| !push.never_ran);
-        if !ran.all(near) {
-            return false;
-        }
         // Rule 6: placement.
         let among = |only: &Option<Vec<usize>>, this| only.as_ref().is_none_or(|only| only.contains(&this));
-        if !among(&category.only_zones, engine.at.zone) || !among(&category.only_kinds, engine.at.kind) {
-            return false;
-        }
-        // Rule 5: key order, and the rest after a push that may still run.
-        if !self.in_turn(id, now) {
+        let placed =
+            among(&category.only_zones, engine.at.zone) && among(&category.only_kinds, engine.at.kind);
+        // Rule 5, in turn: key order, and the rest after a push that may still run.
+        if !ran.all(near) || !placed || !self.in_turn(id, now) {
             return false;
         }
         // Rule 7: the budget of further pushes.
@@ -914,10 +922,9 @@
             Effect::Pure | Effect::Receipted { reach: Reach::All, .. } => true,
             _ => unseen,
         };
-        if harmless {
-            out.turn_back(id, self.given.advice);
-        } else {
-            out.terminate(id);
+        match harmless {
+            true => out.turn_back(id, self.given.advice),
+            false => out.terminate(id),
         }
         self.job_withdrawn(id);
     }
@@ -973,11 +980,8 @@
         if !self.given.call_off && self.engines[at].doubt.mean() > Doubt::TRUST {
             return None;
         }
-        let run = self.run_time(job);
-        let least = self.patience(job);
-        let in_time = job.expected_at - now - 1.5 * run;
-        let wait = (2.0 * least).max(in_time);
-        let left = job.taken.cut_off - now;
+        let (run, left) = (self.run_time(job), job.taken.cut_off - now);
+        let wait = (2.0 * self.patience(job)).max(job.expected_at - now - 1.5 * run);
         (wait + run < left && job.pushes.len() + 1 < self.given.most_pushes as usize).then_some(wait)
     }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -733,3 +733,37 @@
         assert_eq!(!world.engines_of(later).is_empty(), found, "{gateways} gateways");
     }
 }
+
+#[test]
+fn an_instance_that_ends_answers_every_job_before() {
+    let mut world = World::new(plain(), 2);
+    let out = world.job(0, |_| ());
+    world.round();
+    world.gateway.stop_at(world.now + 3.0);
+    let late = world.job(0, |_| ());
+    world.round();
+    assert_eq!(world.engines_of(late).len(), 1);
+    world.pass(3.05);
+    let answered = [out, late].map(|job| world.answers(job));
+    assert!(answered.iter().all(|answers| answers.len() == 1 && answers[0].0 < 103.1), "{answered:?}");
+}
+
+#[test]
+fn an_engine_under_an_old_ones_index_has_none_of_its_history() {
+    let mut world = World::new(plain(), 1);
+    for _ in 0..8 {
+        let job = world.job(0, |_| ());
+        world.round();
+        if !world.engines_of(job).is_empty() {
+            world.over(job, Ending::Broken, 0.1);
+        }
+        world.gateway.job_withdrawn(job);
+    }
+    world.pass(0.3);
+    assert!(world.logged("doubted"));
+    let new = Listing { name_hash: 7, ..listing(0) };
+    world.gateway.engines_listed(world.now, &[new], true);
+    let heavy = world.job(1, |_| ());
+    world.round();
+    assert_eq!(world.engines_of(heavy), [0]);
+}
