The router whole against stand-ins on loopback, routing against a scripted peer

Found by the tests and mended: a failure of the decisions lost the clients that had asked in the same turn and lists that came with it (`Routing::turn` handed news over before noting it); queries that no job can be made of were counted only where routing refused them. Bad bytes, kills, resets, half-closed clients, lost pages, a board that drops, a planned stop and a bad configuration each have a story; waits are for events, with a generous limit.

--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -10,7 +10,7 @@
 use cleatgw::{Deployment, Effect, Ending, Listing, Load, PushEnd, Stage, Taken, Writer};
 use cleatgw_start::{flat, index_of, name_hash, Names};
 pub use counters::Counters;
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
@@ -126,6 +126,8 @@
     names: Names,
     seed: u64,
     desk: Desk,
+    /// Clients that asked in this turn, and whose jobs are not taken yet.
+    untaken: VecDeque<SessionId>,
     next_job: usize,
     next_engine: u64,
     stops_at: f64,
@@ -344,6 +346,7 @@
             names,
             seed,
             desk,
+            untaken: VecDeque::new(),
             next_job: 0,
             next_engine: 0,
             stops_at: f64::INFINITY,
@@ -377,7 +380,12 @@
     pub fn turn(&mut self, now: f64, news: News, peers: &mut dyn Peers) -> (Vec<(SessionId, String)>, f64) {
         self.desk.now = now;
         let mut unusable = Vec::new();
-        let done = catch_unwind(AssertUnwindSafe(|| self.decide(news, peers, &mut unusable)));
+        // What the decisions may fail over is noted first, so that no list and no client is forgotten with them.
+        let lists: Vec<(Vec<Listing>, bool)> =
+            news.lists.into_iter().filter_map(|event| self.note(event)).collect();
+        self.untaken = news.asked.iter().map(|(session, _)| *session).collect();
+        let news = News { lists: Vec::new(), ..news };
+        let done = catch_unwind(AssertUnwindSafe(|| self.decide(lists, news, peers, &mut unusable)));
         if done.is_err() {
             self.begin_anew(peers);
         }
@@ -386,8 +394,16 @@
         (unusable, wake)
     }
 
-    fn decide(&mut self, news: News, peers: &mut dyn Peers, unusable: &mut Vec<(SessionId, String)>) {
-        news.lists.into_iter().for_each(|event| self.listed(event));
+    fn decide(
+        &mut self,
+        lists: Vec<(Vec<Listing>, bool)>,
+        news: News,
+        peers: &mut dyn Peers,
+        unusable: &mut Vec<(SessionId, String)>,
+    ) {
+        for (listings, whole) in lists {
+            self.gateway.engines_listed(self.desk.now, &listings, whole);
+        }
         for (push, ending) in std::mem::take(&mut self.desk.later) {
             self.push_over(push, ending, None, peers);
         }
@@ -402,7 +418,7 @@
         }
         for (session, request) in news.asked {
             if let Err(why) = self.take(session, request) {
-                self.desk.counters.unusable += 1;
+                self.untaken.pop_front();
                 unusable.push((session, why));
             }
         }
@@ -413,8 +429,9 @@
         self.gateway.round(pen.desk.now, &mut pen);
     }
 
-    fn listed(&mut self, event: Event) {
-        let Some((whole, entries)) = event.list else { return };
+    /// Notes what the board tells of engines.
+    fn note(&mut self, event: Event) -> Option<(Vec<Listing>, bool)> {
+        let (whole, entries) = event.list?;
         let listings: Vec<Listing> = entries.into_iter().map(|entry| self.listing(entry)).collect();
         if whole {
             self.desk.engines.iter_mut().for_each(|engine| engine.listing.stage = Stage::Gone);
@@ -423,7 +440,7 @@
             self.desk.engines[listing.engine].listing = *listing;
         }
         self.listed |= whole;
-        self.gateway.engines_listed(self.desk.now, &listings, whole);
+        Some((listings, whole))
     }
 
     fn listing(&mut self, entry: Entry) -> Listing {
@@ -481,6 +498,7 @@
         self.desk.jobs.insert(id, job);
         self.desk.job_of.insert(session, id);
         self.desk.counters.taken += 1;
+        self.untaken.pop_front();
         self.gateway.job_taken(now, id, taken);
         Ok(())
     }
@@ -528,6 +546,11 @@
             }
             self.desk.answer(id, Answer::Terminated, peers);
         }
+        for session in std::mem::take(&mut self.untaken) {
+            self.desk.counters.taken += 1;
+            self.desk.counters.terminated += 1;
+            peers.answer(session, Answer::Terminated);
+        }
         self.desk.counters.module_panics += 1;
         self.desk.jobs.clear();
         self.desk.later.clear();
@@ -540,3 +563,6 @@
         self.desk.wake = self.desk.now;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/router/src/routing/tests.rs
@@ -0,0 +1,273 @@
+//! Routing against a scripted peer: what it is told, and what it asks of the connections.
+
+use super::*;
+use cleatgw::{Category, Kind, Reach};
+
+#[derive(Default)]
+struct Scripted {
+    pushes: Vec<(PushId, u64, String)>,
+    answers: Vec<(SessionId, Answer)>,
+    given_up: Vec<PushId>,
+    /// What giving up reports.
+    how_far: Option<Failure>,
+}
+
+impl Peers for Scripted {
+    fn answer(&mut self, session: SessionId, answer: Answer) {
+        self.answers.push((session, answer));
+    }
+    fn push(&mut self, push: PushId, engine: u64, _address: SocketAddr, ask: &Ask) {
+        self.pushes.push((push, engine, ask.category.to_string()));
+    }
+    fn change_lane(&mut self, _push: PushId, _lane: u8) {}
+    fn give_up(&mut self, push: PushId) -> Failure {
+        self.given_up.push(push);
+        self.how_far.unwrap_or(Failure::Sent)
+    }
+    fn close_idle(&mut self, _engine: u64) {}
+}
+
+struct Host {
+    routing: Routing,
+    peers: Scripted,
+    now: f64,
+    unusable: Vec<(SessionId, String)>,
+}
+
+fn entry(uid: &str, port: u16) -> Entry {
+    Entry {
+        uid: uid.to_string(),
+        address: ([127, 0, 0, 1], port).into(),
+        zone: String::new(),
+        kind: "std".to_string(),
+        cell: 0,
+        stage: Stage::Ready,
+        since: None,
+    }
+}
+
+fn list(number: u64, whole: bool, entries: Vec<Entry>) -> Event {
+    Event { number, list: Some((whole, entries)) }
+}
+
+fn request(category: &str) -> Request {
+    Request {
+        id: "9b1f03aa5c7e2d41".to_string(),
+        category: category.to_string(),
+        patience: 2.0,
+        work: Some(0.05),
+        memory_mb: Some(10.0),
+        statement: b"SELECT 1".to_vec(),
+        ..Request::default()
+    }
+}
+
+impl Host {
+    /// Two engines; jobs that look up are pure, those that load are receipted.
+    fn new() -> Host {
+        let category = Category {
+            credit: 1.0,
+            late_share: 0.0,
+            expected_time: 1.0,
+            stretch: 1.0,
+            threads: 1.0,
+            effect: Effect::Pure,
+            in_key_order: false,
+            holds_tables: false,
+            waits_for_holders: false,
+            only_zones: None,
+            only_kinds: None,
+        };
+        let effect = Effect::Receipted { reach: Reach::All, window: 12.0 };
+        let deployment = Deployment {
+            gateways: 1.0,
+            categories: vec![category.clone(), Category { effect, ..category }],
+            kinds: vec![Kind { cores: 8.0, memory_mb: 8000.0 }],
+            largest_share: 0.5,
+            grants: true,
+            call_off: true,
+            most_pushes: 3,
+            ..Deployment::default()
+        };
+        // The third is named and not described: taking one makes the decisions fail.
+        let categories = ["look", "load", "broken"].map(String::from).to_vec();
+        let names = Names { categories, kinds: vec!["std".to_string()], ..Names::default() };
+        let routing = Routing::new(deployment, names, 7, 100.0);
+        let mut host = Host { routing, peers: Scripted::default(), now: 100.0, unusable: Vec::new() };
+        host.turn(News { lists: vec![list(1, true, vec![entry("a", 1), entry("b", 2)])], ..News::default() });
+        host
+    }
+
+    fn turn(&mut self, news: News) -> f64 {
+        let (unusable, wake) = self.routing.turn(self.now, news, &mut self.peers);
+        self.unusable.extend(unusable);
+        wake
+    }
+
+    fn ask(&mut self, session: SessionId, request: Request) {
+        self.turn(News { asked: vec![(session, request)], ..News::default() });
+    }
+
+    fn end(&mut self, outcome: Outcome) {
+        let (push, ..) = *self.peers.pushes.last().expect("a push");
+        self.turn(News { ends: vec![(push, outcome)], ..News::default() });
+    }
+
+    fn adds_up(&mut self) {
+        let counters = self.routing.counters();
+        let ends = counters.delivered + counters.turned_back + counters.terminated + counters.withdrawn;
+        assert_eq!(counters.taken, ends + counters.open, "{counters}");
+    }
+}
+
+fn done() -> Outcome {
+    Ok(Reply::Done { rows: b"1\t2\t3\n".to_vec(), told: Some((0.05, 10.0)) })
+}
+
+#[test]
+fn a_job_is_pushed_and_its_result_delivered_once() {
+    let mut host = Host::new();
+    host.ask(4, request("look"));
+    host.end(done());
+    assert_eq!(host.peers.answers, [(4, Answer::Delivered(b"1\t2\t3\n".to_vec()))]);
+    host.end(done());
+    host.now += 5.0;
+    host.turn(News::default());
+    assert_eq!((host.peers.answers.len(), host.peers.pushes.len()), (1, 1));
+    assert_eq!(host.routing.counters().answers_dropped, 1);
+    host.adds_up();
+}
+
+#[test]
+fn what_became_of_a_push_is_told_by_how_far_it_came() {
+    for (outcome, ending) in [
+        (Ok(Reply::Full), Ending::Full),
+        (Ok(Reply::Erred), Ending::Erred),
+        (Ok(Reply::TooLate), Ending::NeverSent),
+        (Err(Failure::NeverSent), Ending::NeverSent),
+        (Err(Failure::Refused), Ending::Unreached),
+        (Err(Failure::Sent), Ending::Broken),
+        (Err(Failure::AnsweredInPart), Ending::Broken),
+    ] {
+        assert_eq!(super::ending(&outcome), ending);
+        let mut host = Host::new();
+        host.ask(4, request("look"));
+        host.end(outcome);
+        host.turn(News::default());
+        assert_eq!(host.peers.pushes.len(), 2, "{ending:?}: a pure job is pushed again");
+        host.end(done());
+        assert_eq!(host.peers.answers.len(), 1);
+        host.adds_up();
+    }
+}
+
+#[test]
+fn a_withdrawn_job_has_its_push_given_up_and_gets_no_other_answer() {
+    let mut host = Host::new();
+    host.ask(4, request("look"));
+    host.turn(News { withdrawn: vec![4], ..News::default() });
+    assert_eq!(host.peers.given_up.len(), 1);
+    assert_eq!(host.peers.answers, [(4, Answer::Withdrawn)]);
+    host.end(done());
+    assert_eq!(host.peers.answers.len(), 1);
+    host.adds_up();
+}
+
+#[test]
+fn a_job_withdrawn_in_the_turn_it_came_in_is_never_pushed() {
+    let mut host = Host::new();
+    host.turn(News { asked: vec![(4, request("look"))], withdrawn: vec![4], ..News::default() });
+    assert!(host.peers.pushes.is_empty());
+    host.adds_up();
+}
+
+#[test]
+fn an_unanswered_job_is_given_up_and_answered_at_its_cut_off() {
+    let mut host = Host::new();
+    host.ask(4, Request { patience: 0.5, ..request("look") });
+    for _ in 0..20 {
+        let wake = host.turn(News::default());
+        host.now = wake.min(host.now + 0.1);
+        if host.now >= 100.49 {
+            break;
+        }
+    }
+    assert!(host.peers.answers.is_empty() && host.peers.given_up.is_empty());
+    host.now = 100.5;
+    host.turn(News::default());
+    assert_eq!((host.peers.answers.len(), host.peers.given_up.len()), (1, 1));
+    assert!(matches!(host.peers.answers[0].1, Answer::TurnedBack { .. }));
+    host.adds_up();
+}
+
+#[test]
+fn a_push_given_up_before_it_left_is_told_as_one_that_never_ran() {
+    let mut host = Host::new();
+    host.peers.how_far = Some(Failure::NeverSent);
+    host.ask(4, Request { patience: 0.5, ..request("look") });
+    host.now = 100.5;
+    host.turn(News::default());
+    let counters = host.routing.counters();
+    assert_eq!((counters.pushes_timed_out, counters.pushes_unreached), (0, 1));
+}
+
+#[test]
+fn jobs_that_cannot_be_taken_are_told_why() {
+    let mut host = Host::new();
+    host.ask(4, request("lok"));
+    host.ask(5, request("load"));
+    let words: Vec<&str> = host.unusable.iter().map(|(_, words)| words.as_str()).collect();
+    assert!(words[0].contains("op: expected one of look load"), "{words:?}");
+    assert!(words[1].contains("dedupe: expected"), "{words:?}");
+    host.ask(6, Request { receipt: Some("5c".to_string()), ..request("load") });
+    assert_eq!((host.unusable.len(), host.peers.pushes.len()), (2, 1));
+}
+
+#[test]
+fn a_new_engine_at_an_old_address_is_another() {
+    let mut host = Host::new();
+    let gone = |uid, port| Entry { stage: Stage::Gone, ..entry(uid, port) };
+    let news = |event| News { lists: vec![event], ..News::default() };
+    host.turn(news(list(2, false, vec![gone("a", 1), gone("b", 2)])));
+    host.turn(news(list(3, false, vec![entry("c", 1)])));
+    host.ask(4, request("look"));
+    assert_eq!(host.peers.pushes[0].1, 3, "its number is its own");
+    // Engines come and go for long without the table growing.
+    for number in 4..200 {
+        host.turn(news(list(number, true, vec![entry("c", 1), entry(&format!("d{number}"), 2)])));
+    }
+    assert_eq!(host.routing.desk.engines.len(), 3);
+    host.end(done());
+    assert_eq!(host.peers.answers.len(), 1);
+}
+
+#[test]
+fn after_a_stop_every_job_has_its_answer_in_time() {
+    let mut host = Host::new();
+    host.ask(4, Request { patience: 20.0, ..request("look") });
+    host.routing.stop_at(103.0);
+    host.ask(5, Request { patience: 20.0, ..request("look") });
+    for _ in 0..32 {
+        host.now += 0.1;
+        host.turn(News::default());
+    }
+    assert_eq!((host.peers.answers.len(), host.routing.open()), (2, 0));
+    host.adds_up();
+}
+
+#[test]
+fn when_the_decisions_fail_open_jobs_are_terminated_and_later_ones_served() {
+    let mut host = Host::new();
+    host.ask(4, request("look"));
+    let asked = vec![(5, request("broken")), (6, request("look"))];
+    host.turn(News { asked, lists: vec![list(2, true, vec![entry("c", 3)])], ..News::default() });
+    assert_eq!(host.peers.answers.len(), 3);
+    assert!(host.peers.answers.iter().all(|(_, answer)| *answer == Answer::Terminated));
+    assert_eq!(host.peers.given_up.len(), 1);
+    host.ask(7, request("look"));
+    assert_eq!(host.peers.pushes.last().unwrap().1, 3, "the list that came with it holds");
+    host.end(done());
+    assert!(matches!(host.peers.answers[3], (7, Answer::Delivered(_))));
+    assert_eq!(host.routing.counters().module_panics, 1);
+    host.adds_up();
+}
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -29,7 +29,12 @@
 /// What a session's bytes ask of the rest of the router.
 pub enum Heard {
     Asked(Request),
-    Kill { session: SessionId, query_only: bool },
+    /// A query that nothing can be made of, and why.
+    Unusable(String),
+    Kill {
+        session: SessionId,
+        query_only: bool,
+    },
     Counters,
 }
 
@@ -242,7 +247,7 @@
                 };
                 self.rows(&names, &values.into_iter().map(text).collect::<Vec<String>>());
             }
-            Err(why) => self.error(mysql::NOT_UNDERSTOOD, &why),
+            Err(why) => return self.wait(Heard::Unusable(why)),
         }
         None
     }
--- a/crates/router/src/transport/engine.rs
+++ b/crates/router/src/transport/engine.rs
@@ -50,6 +50,7 @@
     /// When its engine last gave a sign, and when it was asked for one since.
     heard_at: f64,
     asked_at: Option<f64>,
+    known_mute: bool,
     pub answers_dropped: u64,
 }
 
@@ -106,6 +107,7 @@
             idle_since: until,
             heard_at: until,
             asked_at: None,
+            known_mute: false,
             answers_dropped: 0,
         }
     }
@@ -133,9 +135,18 @@
         self.asked_at.is_some_and(|asked| now > asked + stated.connect_time_out)
     }
 
-    /// Nothing is lost with it.
-    pub fn useless(&self, stated: &Links, now: f64) -> bool {
-        self.carries() == 0 && self.mute(stated, now)
+    /// Nothing is lost with it. That its engine gives no sign is told once.
+    pub fn useless(&mut self, stated: &Links, now: f64) -> bool {
+        let mute = self.mute(stated, now);
+        if mute && !std::mem::replace(&mut self.known_mute, mute) {
+            log::info!(
+                "engine {} at {}: gives no sign, with {} pushes",
+                self.engine,
+                self.address,
+                self.carries()
+            );
+        }
+        mute && self.carries() == 0
     }
 
     /// Asks for a sign of its engine, if none has come for long and pushes wait there.
@@ -247,7 +258,7 @@
         let before = self.buffer.input().len();
         let reached = self.buffer.read(&*self.stream, MOST_INPUT)?;
         if self.buffer.input().len() > before {
-            (self.heard_at, self.asked_at) = (now, None);
+            (self.heard_at, self.asked_at, self.known_mute) = (now, None, false);
         }
         self.readable = reached == Reached::More;
         self.answers(now, ends)?;
--- a/crates/router/src/transport/links.rs
+++ b/crates/router/src/transport/links.rs
@@ -148,7 +148,6 @@
         for id in self.links.keys().copied().collect::<Vec<_>>() {
             let link = self.links.get_mut(&id).expect("just seen");
             if link.useless(&self.stated, now) {
-                log::info!("engine {} at {}: silent, closed", link.engine, link.address);
                 self.close(id);
             } else if let Err(error) = link.ask(now) {
                 self.broken(id, Broken::Io(error));
--- a/crates/router/src/transport/sessions.rs
+++ b/crates/router/src/transport/sessions.rs
@@ -135,6 +135,7 @@
         match worked {
             Some(Ok(None)) => {}
             Some(Ok(Some(Heard::Asked(request)))) => news.asked.push((id, request)),
+            Some(Ok(Some(Heard::Unusable(why)))) => self.unusable(id, &why, now),
             Some(Ok(Some(Heard::Kill { session, query_only }))) => self.kills.push((id, session, query_only)),
             Some(Ok(Some(Heard::Counters))) => self.curious.push(id),
             Some(Err(error)) => {
@@ -192,6 +193,7 @@
 
     pub fn unusable(&mut self, id: SessionId, why: &str, now: f64) {
         log::debug!("session {id}: {why}");
+        self.counters.unusable += 1;
         if let Some(session) = self.sessions.get_mut(&id) {
             session.since = now;
             session.error(mysql::NOT_UNDERSTOOD, why);
@@ -244,6 +246,7 @@
 
     pub fn count(&self, counters: &mut Counters) {
         let own = &self.counters;
+        counters.unusable = own.unusable;
         counters.sessions = own.sessions;
         counters.sessions_open = self.sessions.len() as u64;
         counters.sessions_closed_for_room = own.sessions_closed_for_room;
--- /dev/null
+++ b/crates/router/tests/standins/mod.rs
@@ -0,0 +1,405 @@
+//! Small stand-ins on loopback for what the router talks to: engines, the notice board, clients.
+
+use std::collections::VecDeque;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+/// Longer than anything here takes; what is awaited comes much sooner.
+const GENEROUS: Duration = Duration::from_secs(20);
+
+/// A list that grows, and that a test can wait on.
+#[derive(Clone, Default)]
+pub struct Seen(Arc<(Mutex<Vec<String>>, Condvar)>);
+
+impl Seen {
+    pub fn add(&self, line: &str) {
+        self.0 .0.lock().unwrap().push(line.to_string());
+        self.0 .1.notify_all();
+    }
+
+    pub fn all(&self) -> Vec<String> {
+        self.0 .0.lock().unwrap().clone()
+    }
+
+    /// Waits for so many lines that hold the words.
+    pub fn wait(&self, words: &str, count: usize) -> Vec<String> {
+        let found = |lines: &Vec<String>| lines.iter().filter(|line| line.contains(words)).count() >= count;
+        let guard = self.0 .0.lock().unwrap();
+        let (guard, late) = self.0 .1.wait_timeout_while(guard, GENEROUS, |lines| !found(lines)).unwrap();
+        assert!(!late.timed_out(), "no {count} lines with {words:?}: {guard:?}");
+        guard.iter().filter(|line| line.contains(words)).cloned().collect()
+    }
+}
+
+/// An engine: what it does is the first word of a job's statement, in its order of connections:
+/// `pages N`, `hold`, `reset`, `full`, `broke`, `losepage`, `garbage`, `mute`, `late`.
+#[derive(Clone)]
+pub struct Engine {
+    pub address: SocketAddr,
+    pub uid: String,
+    pub seen: Seen,
+}
+
+impl Engine {
+    pub fn start(uid: &str) -> Engine {
+        Engine::at(uid, ([127, 0, 0, 1], 0).into())
+    }
+
+    pub fn at(uid: &str, address: SocketAddr) -> Engine {
+        let listener = TcpListener::bind(address).unwrap();
+        let engine =
+            Engine { address: listener.local_addr().unwrap(), uid: uid.to_string(), seen: Seen::default() };
+        let served = engine.clone();
+        std::thread::spawn(move || {
+            for (number, stream) in listener.incoming().enumerate() {
+                let (served, stream) = (served.clone(), stream.unwrap());
+                served.seen.add(&format!("connection {number}"));
+                std::thread::spawn(move || served.serve(stream, number));
+            }
+        });
+        engine
+    }
+
+    /// The board's entry for it.
+    pub fn entry(&self, state: &str) -> String {
+        let (uid, address) = (&self.uid, self.address);
+        format!(r#"{{"uid":"{uid}","endpoint":"{address}","az":"east","model":"std","state":"{state}"}}"#)
+    }
+
+    fn serve(&self, stream: TcpStream, number: usize) {
+        let mut out = stream.try_clone().unwrap();
+        let mut lines = BufReader::new(stream);
+        let mut line = String::new();
+        let mut mute = false;
+        while lines.read_line(&mut line).unwrap_or(0) > 0 {
+            let text = std::mem::take(&mut line);
+            let words: Vec<&str> = text.trim_end().split(' ').collect();
+            let mut body = Vec::new();
+            if words[0] == "GET" {
+                body = vec![0; words[3].parse::<usize>().unwrap() + 2];
+                lines.read_exact(&mut body).unwrap();
+                body.truncate(body.len() - 2);
+            }
+            let statement = String::from_utf8_lossy(&body).into_owned();
+            self.seen.add(&format!("{} on {number}: {statement}", text.trim_end()));
+            let row = |page: usize| format!("{page}\tone\ttwo\n");
+            let done = |parts: usize| {
+                let row = row(0);
+                format!("{} DONE work=5,peak=7,parts={parts} {}\r\n{row}\r\n", words[1], row.len())
+            };
+            let asked: Vec<&str> = statement.split(' ').collect();
+            let answer = match (words[0], asked[0]) {
+                ("PAGE", _) if words[2] == "99" => continue,
+                ("PAGE", _) if self.uid.contains("loses") => format!("{} BROKE - 0\r\n\r\n", words[1]),
+                ("PAGE", _) => {
+                    let row = row(words[2].parse().unwrap());
+                    format!("{} MORE part_no={} {}\r\n{row}\r\n", words[1], words[2], row.len())
+                }
+                ("PING", _) if !mute => format!("{} FIT - 0\r\n\r\n", words[1]),
+                ("GET", "pages") => done(asked[1].parse().unwrap()),
+                ("GET", "hold") => continue,
+                ("GET", "reset") if self.uid.contains("resets") => {
+                    out.shutdown(Shutdown::Both).unwrap();
+                    return;
+                }
+                ("GET", "full") if self.uid.contains("full") => format!("{} WAIT - 0\r\n\r\n", words[1]),
+                ("GET", "garbage") if self.uid.contains("garbage") => "what is this\r\n".to_string(),
+                ("GET", "mute") if number == 0 => {
+                    mute = true;
+                    continue;
+                }
+                ("GET", _) => done(1),
+                _ => continue,
+            };
+            if out.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+        self.seen.add(&format!("closed {number}"));
+    }
+}
+
+/// The notice board: tells what it is given, and the last number often.
+pub struct Board {
+    pub address: SocketAddr,
+    pub seen: Seen,
+    events: Arc<Mutex<Vec<String>>>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Board {
+    pub fn start() -> Board {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let board = Board {
+            address: listener.local_addr().unwrap(),
+            seen: Seen::default(),
+            events: Arc::default(),
+            open: Arc::default(),
+        };
+        let (seen, events, open) = (board.seen.clone(), board.events.clone(), board.open.clone());
+        std::thread::spawn(move || {
+            for stream in listener.incoming() {
+                let mut stream = stream.unwrap();
+                open.lock().unwrap().push(stream.try_clone().unwrap());
+                let (seen, events) = (seen.clone(), events.clone());
+                std::thread::spawn(move || {
+                    let mut line = String::new();
+                    BufReader::new(stream.try_clone().unwrap()).read_line(&mut line).unwrap_or(0);
+                    seen.add(line.trim_end());
+                    let mut told =
+                        line.trim_end().strip_prefix("watch ").map_or(0, |last| last.parse().unwrap());
+                    loop {
+                        let all = events.lock().unwrap().clone();
+                        let new: String =
+                            all.iter().skip(told).map(|event| event.to_string() + "\n").collect();
+                        told = told.max(all.len());
+                        if stream.write_all(format!("{new}{told}\n").as_bytes()).is_err() {
+                            return;
+                        }
+                        std::thread::sleep(Duration::from_millis(20));
+                    }
+                });
+            }
+        });
+        board
+    }
+
+    /// Adds an event with these entries.
+    pub fn tell(&self, whole: bool, entries: &[String]) {
+        let mut events = self.events.lock().unwrap();
+        let (number, entries) = (events.len() + 1, entries.join(","));
+        events.push(format!(r#"{{"rev":{number},"pool":{{"rev":1,"all":{whole},"targets":[{entries}]}}}}"#));
+    }
+
+    /// Writes something else on the connections, or drops them.
+    pub fn say(&self, words: &str) {
+        self.open
+            .lock()
+            .unwrap()
+            .iter_mut()
+            .for_each(|stream| stream.write_all(words.as_bytes()).unwrap_or(()));
+    }
+
+    pub fn drop_all(&self) {
+        let open = std::mem::take(&mut *self.open.lock().unwrap());
+        open.iter().for_each(|stream| stream.shutdown(Shutdown::Both).unwrap_or(()));
+    }
+
+    fn known(&self) -> String {
+        let events = self.events.lock().unwrap();
+        format!(r#"{{"rev":{},"notices":[{}]}}"#, events.len(), events.join(","))
+    }
+}
+
+static ROUTERS: AtomicU64 = AtomicU64::new(0);
+
+/// The real program.
+pub struct Router {
+    pub address: SocketAddr,
+    pub log: Seen,
+    child: Child,
+}
+
+pub fn configuration(listen: &str, board: &str, known: &str, sockets: u32) -> String {
+    let category = |name: &str, kind: &str| {
+        format!(
+            r#"{{"name":"{name}","idempotency":"{kind}","group":"all","window-us":12000000,"objective-us":1000000,
+            "hard-limit-us":20000000,"gain":1.0}}"#
+        )
+    };
+    let categories =
+        [category("look", "safe"), category("load", "keyed"), category("once", "unsafe")].join(",");
+    format!(
+        r#"{{"name":"n1","listen":"{listen}","seed":"8c1f30d27a5be964","board":"{board}","known":{known},
+        "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
+        "settings":{{"balancers":1,"categories":[{categories}],"shapes":["std"],"zones":["east"],
+        "family-info":{{"cores-by-kind":[8],"ram-of-kind-mb":[8192.0],"parallelism":[1,1,1],"largest-share":0.5,
+        "grants-count":true,"takes-priority":true}},
+        "limits":{{"cancel":true,"max-attempts":3,"retry-after":true,"max-retry-after-us":500000,
+        "connect-timeout-us":250000,"conn-idle-us":30000000,"multiplex":100}}}}}}"#
+    )
+}
+
+impl Router {
+    pub fn start(board: &Board) -> Router {
+        Router::with(board, 256)
+    }
+
+    pub fn with(board: &Board, sockets: u32) -> Router {
+        let free = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = free.local_addr().unwrap();
+        drop(free);
+        let text = configuration(&address.to_string(), &board.address.to_string(), &board.known(), sockets);
+        let number = ROUTERS.fetch_add(1, Ordering::Relaxed);
+        let file = std::env::temp_dir().join(format!("cleatgw-{}-{number}.json", std::process::id()));
+        std::fs::write(&file, text).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_cleatgw"))
+            .env("BALANCER_CONFIG", &file)
+            .env("RUST_LOG", "debug")
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let log = Seen::default();
+        let (lines, seen) = (BufReader::new(child.stderr.take().unwrap()).lines(), log.clone());
+        std::thread::spawn(move || lines.map_while(Result::ok).for_each(|line| seen.add(&line)));
+        log.wait("notice board connected", 1);
+        std::fs::remove_file(file).unwrap();
+        Router { address, log, child }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
+        assert!(sent.success());
+    }
+
+    /// Waits for its end; its exit code and its last counters.
+    pub fn ended(&mut self) -> (Option<i32>, String) {
+        let code = self.child.wait().unwrap().code();
+        (code, self.log.wait("counters:", 1).pop().unwrap())
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The counter's value in a line of them.
+pub fn counter(line: &str, name: &str) -> u64 {
+    let mut words = line.split(' ').filter_map(|word| word.split_once('='));
+    words.find(|(key, _)| *key == name).map_or(u64::MAX, |(_, value)| value.parse().unwrap())
+}
+
+/// How a query was answered.
+#[derive(Debug, PartialEq)]
+pub enum Answered {
+    Ok,
+    Rows(Vec<String>),
+    Error(u16, String),
+}
+
+/// A client that writes and reads packets by hand.
+pub struct Client {
+    pub stream: TcpStream,
+    pub session: u32,
+}
+
+pub fn packet(sequence: u8, body: &[u8]) -> Vec<u8> {
+    let length = (body.len() as u32).to_le_bytes();
+    [&length[..3], &[sequence], body].concat()
+}
+
+pub fn login() -> Vec<u8> {
+    let flags: u32 = 1 << 9 | 1 << 15 | 1 << 3;
+    let mut body = flags.to_le_bytes().to_vec();
+    body.extend([0; 28]);
+    body.extend(b"app\0\0reports\0");
+    packet(1, &body)
+}
+
+pub fn query(text: &str) -> Vec<u8> {
+    packet(0, &[&[3], text.as_bytes()].concat())
+}
+
+static CALLS: AtomicU64 = AtomicU64::new(1);
+
+/// A job of this category with so many milliseconds to go.
+pub fn job(category: &str, ttl: u64, statement: &str) -> String {
+    let call = CALLS.fetch_add(1, Ordering::Relaxed);
+    format!("/* op={category},call={call:016x},ttl={ttl},dedupe=d{call},work=5.0,mb=10 */ {statement}")
+}
+
+impl Client {
+    /// Connects, and writes this before the greeting has been read.
+    pub fn early(router: &Router, first: &[u8]) -> Client {
+        let mut stream = TcpStream::connect(router.address).unwrap();
+        stream.set_read_timeout(Some(GENEROUS)).unwrap();
+        stream.write_all(first).unwrap();
+        let mut client = Client { stream, session: 0 };
+        let (_, greeting) = client.packet().expect("a greeting");
+        let after = greeting.iter().position(|&byte| byte == 0).unwrap() + 1;
+        client.session = u32::from_le_bytes(greeting[after..after + 4].try_into().unwrap());
+        client
+    }
+
+    pub fn new(router: &Router) -> Client {
+        let mut client = Client::early(router, &login());
+        assert_eq!(client.answer(), Answered::Ok);
+        client
+    }
+
+    pub fn packet(&mut self) -> Option<(u8, Vec<u8>)> {
+        let mut header = [0; 4];
+        self.stream.read_exact(&mut header).ok()?;
+        let mut body = vec![0; u32::from_le_bytes([header[0], header[1], header[2], 0]) as usize];
+        self.stream.read_exact(&mut body).ok()?;
+        Some((header[3], body))
+    }
+
+    /// Reads one whole answer.
+    pub fn answer(&mut self) -> Answered {
+        let (mut last, first) = self.packet().expect("an answer");
+        let mut next = |client: &mut Client| {
+            let (sequence, body) = client.packet().expect("more of an answer");
+            assert_eq!(sequence, last.wrapping_add(1));
+            last = sequence;
+            body
+        };
+        match first[0] {
+            0 => return Answered::Ok,
+            0xff => {
+                let words = String::from_utf8_lossy(&first[9..]).into_owned();
+                return Answered::Error(u16::from_le_bytes([first[1], first[2]]), words);
+            }
+            columns => (0..=columns).for_each(|_| drop(next(self))),
+        }
+        let mut rows = Vec::new();
+        loop {
+            let body = next(self);
+            if body[0] == 0xfe && body.len() < 9 {
+                return Answered::Rows(rows);
+            }
+            let (mut row, mut rest) = (VecDeque::new(), &body[..]);
+            while let Some((&length, more)) = rest.split_first() {
+                let (value, more) = more.split_at(length.into());
+                row.push_back(String::from_utf8_lossy(value).into_owned());
+                rest = more;
+            }
+            rows.push(row.make_contiguous().join(","));
+        }
+    }
+
+    pub fn send(&mut self, text: &str) {
+        self.stream.write_all(&query(text)).unwrap();
+    }
+
+    pub fn ask(&mut self, text: &str) -> Answered {
+        self.send(text);
+        self.answer()
+    }
+
+    /// Nothing more comes: the router has closed.
+    pub fn closed(&mut self) -> bool {
+        self.packet().is_none()
+    }
+
+    /// The router's counters, once one of them has this value.
+    pub fn counters(&mut self, name: &str, value: u64) -> String {
+        let end = Instant::now() + GENEROUS;
+        loop {
+            self.stream.write_all(&packet(0, &[9])).unwrap();
+            let line = String::from_utf8(self.packet().unwrap().1).unwrap();
+            if counter(&line, name) == value {
+                return line;
+            }
+            assert!(Instant::now() < end, "{name} is not {value}: {line}");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/tests/whole.rs
@@ -0,0 +1,293 @@
+//! The real program between small stand-ins, one story for each thing that must hold.
+
+mod standins;
+
+use standins::*;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpListener};
+use std::process::Command;
+
+/// A board that lists these engines, and a router on it.
+fn started(engines: &[&Engine]) -> (Board, Router) {
+    let board = Board::start();
+    let entries: Vec<String> = engines.iter().map(|engine| engine.entry("ready")).collect();
+    board.tell(true, &entries);
+    let router = Router::start(&board);
+    (board, router)
+}
+
+fn rows(count: usize) -> Answered {
+    Answered::Rows((0..count).map(|page| format!("{page},one,two")).collect())
+}
+
+#[test]
+fn login_and_first_query_before_the_greeting_and_a_result_of_many_pages() {
+    let engine = Engine::start("e");
+    let (_board, router) = started(&[&engine]);
+    let first = job("look", 5000, "pages 8 FROM sales_17.t");
+    let mut client = Client::early(&router, &[login(), query(&first)].concat());
+    assert_eq!((client.answer(), client.answer()), (Answered::Ok, rows(8)));
+    let get = engine.seen.wait("GET", 1).pop().unwrap();
+    assert!(get.contains("queue=look,budget=") && get.ends_with(": pages 8 FROM sales_17.t"), "{get}");
+    // The pages were asked for without waiting, and closed.
+    engine.seen.wait("CLOSE", 1);
+    assert_eq!(engine.seen.wait("PAGE", 7).len(), 7);
+    assert_eq!(client.ask(&job("look", 5000, "pages 1")), rows(1));
+}
+
+#[test]
+fn packets_in_single_bytes_and_several_in_one_write() {
+    let engine = Engine::start("e");
+    let (_board, router) = started(&[&engine]);
+    let mut client = Client::early(&router, &[]);
+    for byte in [login(), query(&job("look", 5000, "x"))].concat() {
+        client.stream.write_all(&[byte]).unwrap();
+    }
+    assert_eq!((client.answer(), client.answer()), (Answered::Ok, rows(1)));
+    let joined =
+        [query("SET NAMES utf8mb4"), packet(0, &[0x0e]), query(&job("look", 5000, "x")), packet(0, &[1])];
+    client.stream.write_all(&joined.concat()).unwrap();
+    assert_eq!((client.answer(), client.answer(), client.answer()), (Answered::Ok, Answered::Ok, rows(1)));
+    assert!(client.closed());
+}
+
+#[test]
+fn what_drivers_ask_at_their_start_and_what_no_job_can_be_made_of() {
+    let engine = Engine::start("e");
+    let (_board, router) = started(&[&engine]);
+    let mut client = Client::new(&router);
+    let id = client.session.to_string();
+    assert_eq!(
+        client.ask("SELECT @@version_comment, CONNECTION_ID()"),
+        Answered::Rows(vec![format!("cleatgw,{id}")])
+    );
+    assert_eq!(client.ask("SHOW WARNINGS"), Answered::Rows(vec![]));
+    for (text, why) in [
+        ("SELECT 1 FROM sales_17.t".to_string(), "no fields comment"),
+        (job("lok", 50, "x"), "field op: expected one of look load once"),
+        (job("look", 50, "x").replace("ttl=50", "ttl=-1"), "field ttl"),
+        (job("load", 50, "x").replace("dedupe=", "dupe="), "field dedupe"),
+        ("KILL QUERY 999999".to_string(), "unknown connection id"),
+    ] {
+        let Answered::Error(_, words) = client.ask(&text) else { panic!("{text} was answered") };
+        assert!(words.contains(why), "{words}");
+    }
+    assert_eq!(client.ask(&job("look", 5000, "x")), rows(1));
+    let counters = client.counters("delivered", 1);
+    assert_eq!((counter(&counters, "taken"), counter(&counters, "unusable")), (1, 4));
+}
+
+#[test]
+fn malformed_bytes_end_only_their_connection() {
+    let engine = Engine::start("e");
+    let (_board, router) = started(&[&engine]);
+    let mut good = Client::new(&router);
+    for bytes in
+        [&b"GET / HTTP/1.1\r\n\r\n"[..], &[1, 0, 0, 1, 0], &[0xff, 0xff, 0xff, 1], &packet(5, b"\x03x")]
+    {
+        let mut bad = Client::early(&router, bytes);
+        assert!(matches!(bad.answer(), Answered::Error(..)), "{bytes:?}");
+        assert!(bad.closed());
+    }
+    let mut half = Client::early(&router, &login()[..20]);
+    half.stream.shutdown(Shutdown::Both).unwrap();
+    assert!(half.closed());
+    assert_eq!(good.ask(&job("look", 5000, "x")), rows(1));
+}
+
+#[test]
+fn a_killed_query_has_its_push_given_up_and_its_session_goes_on() {
+    let engine = Engine::start("e");
+    let (_board, router) = started(&[&engine]);
+    let mut client = Client::new(&router);
+    client.send(&job("look", 20000, "hold"));
+    engine.seen.wait("GET", 1);
+    let mut killer = Client::new(&router);
+    assert_eq!(killer.ask(&format!("KILL QUERY {}", client.session)), Answered::Ok);
+    engine.seen.wait("DROP", 1);
+    assert!(matches!(client.answer(), Answered::Error(1317, _)));
+    assert_eq!(client.ask(&job("look", 5000, "x")), rows(1));
+    client.counters("withdrawn", 1);
+}
+
+#[test]
+fn a_client_that_resets_withdraws_its_job_and_one_that_half_closes_has_its_answer() {
+    let engine = Engine::start("e");
+    let (_board, router) = started(&[&engine]);
+    let mut gone = Client::new(&router);
+    // What it does not read makes its end a reset.
+    gone.stream.write_all(&packet(0, &[0x0e])).unwrap();
+    gone.send(&job("look", 20000, "hold"));
+    engine.seen.wait("GET", 1);
+    drop(gone);
+    engine.seen.wait("DROP", 1);
+    let mut half = Client::new(&router);
+    half.send(&job("look", 5000, "pages 3"));
+    half.stream.shutdown(Shutdown::Write).unwrap();
+    assert_eq!(half.answer(), rows(3));
+    assert!(half.closed());
+    Client::new(&router).counters("withdrawn", 1);
+}
+
+#[test]
+fn a_refused_engine_proves_that_nothing_ran_and_a_reset_does_not() {
+    let refused = TcpListener::bind("127.0.0.1:0").unwrap();
+    let vacant = Engine { address: refused.local_addr().unwrap(), ..Engine::start("vacant") };
+    drop(refused);
+    let (board, router) = started(&[&vacant]);
+    let mut client = Client::new(&router);
+    // An effectful job goes on as nothing ran, and is turned back when no engine can be had.
+    assert!(
+        matches!(client.ask(&job("once", 1000, "x")), Answered::Error(1040, words) if words.contains("pushback="))
+    );
+    let resets = Engine::start("resets");
+    board.tell(true, &[resets.entry("ready")]);
+    router.log.wait("is resets", 1);
+    assert!(matches!(client.ask(&job("once", 5000, "reset")), Answered::Error(1105, _)));
+    assert_eq!(resets.seen.wait("GET", 1).len(), 1);
+    let counters = client.counters("terminated", 1);
+    assert_eq!((counter(&counters, "turned_back"), counter(&counters, "pushes_broken")), (1, 1));
+}
+
+#[test]
+fn a_pure_job_goes_elsewhere_when_its_engine_resets_is_full_loses_a_page_or_talks_nonsense() {
+    for (uid, statement) in
+        [("resets", "reset"), ("full", "full"), ("loses", "pages 4"), ("garbage", "garbage")]
+    {
+        let (bad, good) = (Engine::start(uid), Engine::start("good"));
+        let (_board, router) = started(&[&bad, &good]);
+        let mut client = Client::new(&router);
+        let expected = if uid == "loses" { rows(4) } else { rows(1) };
+        // Whatever order a group's engines have, some group begins with the bad one.
+        for group in 0.. {
+            let text = format!("{statement} FROM sales_{group}.t");
+            assert_eq!(client.ask(&job("look", 5000, &text)), expected, "{uid}");
+            if bad.seen.all().iter().any(|line| line.starts_with("GET")) {
+                break;
+            }
+        }
+        assert!(good.seen.all().iter().any(|line| line.starts_with("GET")), "{uid}");
+    }
+}
+
+#[test]
+fn an_engine_whose_connection_is_mute_is_connected_to_anew() {
+    let engine = Engine::start("e");
+    let (_board, router) = started(&[&engine]);
+    let mut client = Client::new(&router);
+    // So heavy that its push is waited for long.
+    client.send(&job("look", 20000, "mute").replace("work=5.0", "work=4000"));
+    engine.seen.wait("PING sign on 0", 1);
+    router.log.wait("gives no sign", 1);
+    let mut other = Client::new(&router);
+    assert_eq!(other.ask(&job("load", 15000, "x")), rows(1));
+    assert_eq!(engine.seen.wait("GET", 2).iter().filter(|line| line.contains("on 1")).count(), 1);
+}
+
+#[test]
+fn the_board_may_drop_talk_nonsense_and_replace_engines_at_their_address() {
+    let first = Engine::start("first");
+    let (board, router) = started(&[&first]);
+    let mut client = Client::new(&router);
+    assert_eq!(client.ask(&job("look", 5000, "x")), rows(1));
+    board.drop_all();
+    // It comes again with the last event that it holds.
+    assert_eq!(board.seen.wait("watch 1", 2).len(), 2);
+    board.say("{\"rev\":\n");
+    router.log.wait("notice board lost: malformed", 1);
+    board.seen.wait("watch 1", 3);
+    // The old list stood; now another engine has the old one's address.
+    let second = Engine { uid: "second".to_string(), ..first.clone() };
+    board.tell(false, &[first.entry("gone"), second.entry("ready")]);
+    router.log.wait("is second", 1);
+    assert_eq!(client.ask(&job("look", 5000, "x")), rows(1));
+    assert_eq!(first.seen.wait("connection", 2).len(), 2, "it shares no connection with the old one");
+}
+
+#[test]
+fn clients_that_are_idle_or_read_nothing_hold_up_nobody() {
+    let engine = Engine::start("e");
+    let board = Board::start();
+    board.tell(true, &[engine.entry("ready")]);
+    let router = Router::with(&board, 64);
+    // More than the descriptors allow: the idle ones make room.
+    let mut idle: Vec<Client> = (0..100).map(|_| Client::new(&router)).collect();
+    let mut deaf = Client::new(&router);
+    let text = job("look", 5000, "pages 8");
+    deaf.stream.write_all(&query(&text).repeat(2000)).unwrap_or(());
+    assert_eq!(idle.last_mut().unwrap().ask(&job("look", 5000, "x")), rows(1));
+    let counters = idle.last_mut().unwrap().counters("open", 0);
+    assert!(counter(&counters, "sessions_closed_for_room") > 0);
+    assert!(counter(&counters, "descriptors_short") == 0 && counter(&counters, "sessions_open") <= 32);
+}
+
+#[test]
+fn a_planned_stop_serves_what_still_comes_and_answers_every_job() {
+    let engine = Engine::start("e");
+    let (_board, mut router) = started(&[&engine]);
+    let mut long = Client::new(&router);
+    long.send(&job("load", 20000, "hold"));
+    engine.seen.wait("GET", 1);
+    let mut open = Client::new(&router);
+    router.signal("-TERM");
+    router.log.wait("stopping", 1);
+    assert_eq!(Client::new(&router).ask(&job("look", 5000, "pages 2")), rows(2));
+    assert_eq!(open.ask(&job("look", 5000, "x")), rows(1));
+    // Its cut-off lies far beyond the end.
+    assert!(matches!(long.answer(), Answered::Error(1040, _)));
+    let (code, counters) = router.ended();
+    assert_eq!(code, Some(0));
+    let ends =
+        ["delivered", "turned_back", "terminated", "withdrawn", "open"].map(|name| counter(&counters, name));
+    assert_eq!((counter(&counters, "taken"), ends), (3, [2, 1, 0, 0, 0]));
+}
+
+#[test]
+fn a_bad_configuration_is_named_by_its_field_in_one_line() {
+    let file = std::env::temp_dir().join(format!("cleatgw-{}-bad.json", std::process::id()));
+    let good = configuration("127.0.0.1:6565", "127.0.0.1:9092", r#"{"rev":0,"notices":[]}"#, 64);
+    for (was, is, field) in [
+        (
+            "\"listen\":\"127.0.0.1:6565\"",
+            "\"listen\":7",
+            "field listen: expected an address and a port, got 7",
+        ),
+        ("\"sockets\":64", "\"sockets\":\"many\"", "field limits.sockets: expected a number above 0"),
+        ("\"notices\":[]", "\"notices\":[{}]", "field known.notices.0.rev: expected a whole number"),
+        ("\"gain\":1.0", "\"gain\":\"much\"", "setting categories.0.gain: expected a number"),
+        ("\"settings\":", "\"setting\":", "field settings: expected an object"),
+        ("{\"name\"", "\"name\"", "expected JSON"),
+    ] {
+        let text = good.replace(was, is);
+        assert_ne!(text, good, "{was}");
+        std::fs::write(&file, text).unwrap();
+        for command in [vec!["check"], vec![]] {
+            let mut run = Command::new(env!("CARGO_BIN_EXE_cleatgw"));
+            let output = run.args(&command).env("BALANCER_CONFIG", &file).output().unwrap();
+            let words = String::from_utf8(output.stderr).unwrap();
+            assert!(!output.status.success() && words.contains(field), "{words}");
+            assert_eq!(words.lines().count(), 1, "{words}");
+        }
+    }
+    std::fs::write(&file, &good).unwrap();
+    let run = Command::new(env!("CARGO_BIN_EXE_cleatgw")).arg("check").arg(&file).output().unwrap();
+    assert!(
+        run.status.success()
+            && String::from_utf8(run.stdout).unwrap().contains("3 categories (look load once)")
+    );
+    std::fs::remove_file(file).unwrap();
+}
+
+#[test]
+fn ping_is_answered_once_engines_are_known() {
+    let board = Board::start();
+    let router = Router::start(&board);
+    let mut client = Client::new(&router);
+    client.stream.write_all(&packet(0, &[0x0e])).unwrap();
+    let mut byte = [0];
+    client.stream.set_nonblocking(true).unwrap();
+    assert!(client.stream.read(&mut byte).is_err());
+    client.stream.set_nonblocking(false).unwrap();
+    board.tell(true, &[Engine::start("e").entry("ready")]);
+    assert_eq!(client.answer(), Answered::Ok);
+}
