Transport: no stuck or spinning session, pauses after a failed accept, an idle link looked at first

Found by reading: a session that had read as much as its buffer may hold was looked at again only after an answer (a pipelining client could stand still); a persistent error of accept would have spun the loop; a clock set back would have frozen every time-out; a board that stays away logged four lines a second; an engine that reads nothing could make a link's output grow. An idle connection is read once more before a push goes on it, so that one its engine has closed costs no push.

--- a/crates/router/src/protocol/statement.rs
+++ b/crates/router/src/protocol/statement.rs
@@ -24,6 +24,7 @@
 pub enum Value {
     Text(String),
     SessionId,
+    LongestPacket,
 }
 
 /// A job as its client asks for it.
@@ -289,7 +290,11 @@
                 [Token::Sign(b'@'), Token::Sign(b'@'), scope @ .., name] => {
                     let scoped = matches!(scope, [] | [Token::Word(_), Token::Sign(b'.')]);
                     let name = name.name().filter(|_| scoped)?;
-                    (format!("@@{name}"), Value::Text(variable(name).to_string()))
+                    let value = match name.eq_ignore_ascii_case("max_allowed_packet") {
+                        true => Value::LongestPacket,
+                        false => Value::Text(variable(name).to_string()),
+                    };
+                    (format!("@@{name}"), value)
                 }
                 [Token::Word(name), Token::Sign(b'('), Token::Sign(b')')] => {
                     let value = match name.to_ascii_lowercase().as_str() {
@@ -321,7 +326,6 @@
         "transaction_isolation" | "tx_isolation" => "REPEATABLE-READ",
         "time_zone" => "SYSTEM",
         "system_time_zone" => "UTC",
-        "max_allowed_packet" => "65536",
         "wait_timeout" | "interactive_timeout" => "28800",
         "lower_case_table_names" | "transaction_read_only" | "query_cache_size" => "0",
         _ if lower.starts_with("character_set") => "utf8mb4",
--- a/crates/router/src/transport/board.rs
+++ b/crates/router/src/transport/board.rs
@@ -30,6 +30,7 @@
     last: u64,
     /// Events were missed twice: the board is asked for all of them.
     gap: bool,
+    away: bool,
     counters: Counters,
 }
 
@@ -44,6 +45,7 @@
             readable: false,
             last,
             gap: false,
+            away: false,
             counters: Counters::default(),
         }
     }
@@ -78,7 +80,10 @@
 
     /// Gives the connection up; its registration is returned to be undone.
     pub fn lost(&mut self, why: &str, now: f64) -> Option<RegistrationToken> {
-        log::warn!("notice board lost: {why}; the list of event {} stands", self.last);
+        // Told once for as long as it stays away.
+        let level =
+            if std::mem::replace(&mut self.away, true) { log::Level::Debug } else { log::Level::Warn };
+        log::log!(level, "notice board lost: {why}; the list of event {} stands", self.last);
         self.state = State::Down { retry_at: now + RETRY };
         self.wire.take().map(|(token, _)| token)
     }
@@ -126,7 +131,7 @@
         let reached = self.buffer.read(&*stream, self.longest).map_err(words)?;
         self.readable = reached == Reached::More;
         while let Some(end) = self.buffer.input().iter().position(|&byte| byte == b'\n') {
-            self.state = State::Up { heard_at: now };
+            (self.state, self.away) = (State::Up { heard_at: now }, false);
             let line = board::line(&self.buffer.input()[..end]);
             self.buffer.taken(end + 1);
             let line = line.map_err(|board::Malformed(why)| {
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -107,13 +107,9 @@
         self.buffer.unsent()
     }
 
-    /// Something is left that no readiness will tell of.
-    pub fn unfinished(&self) -> bool {
-        let reads = !matches!(self.state, State::Waiting | State::Closed) && self.buffer.unsent() == 0;
-        reads
-            && (self.readable
-                || !self.buffer.input().is_empty() && self.state != State::Closing
-                || self.ended)
+    /// More may be ready than was read: no readiness will tell of it again.
+    pub fn reads_on(&self) -> bool {
+        self.readable && self.spare()
     }
 
     pub fn ready(&mut self, readable: bool, now: f64) {
@@ -240,10 +236,11 @@
             Ok(Asked::Nothing) => self.rows(&["Variable_name".to_string(), "Value".to_string()], &[]),
             Ok(Asked::Values(values)) => {
                 let (names, values): (Vec<String>, Vec<Value>) = values.into_iter().unzip();
-                let id = self.id;
+                let (id, longest) = (self.id, self.longest);
                 let text = |value| match value {
                     Value::Text(text) => text,
                     Value::SessionId => id.to_string(),
+                    Value::LongestPacket => longest.to_string(),
                 };
                 self.rows(&names, &values.into_iter().map(text).collect::<Vec<String>>());
             }
--- a/crates/router/src/transport/engine.rs
+++ b/crates/router/src/transport/engine.rs
@@ -11,6 +11,8 @@
 use std::{fmt, io};
 
 const MOST_INPUT: usize = 64 * 1024;
+/// A connection whose engine leaves so much unread takes nothing new.
+const MOST_UNSENT: usize = 256 * 1024;
 /// Ids given up on a connection are kept for as long as it lives, as their answers may still come; with so many
 /// of them it takes nothing new.
 const MOST_GIVEN_UP: usize = 1000;
@@ -126,7 +128,9 @@
         let known = self.given_up.contains(id)
             || self.exchanges.contains_key(id)
             || self.waiting.iter().any(|(waiting, ..)| waiting == id);
-        let full = self.carries() >= stated.pushes_each || self.given_up.len() >= MOST_GIVEN_UP;
+        let full = self.carries() >= stated.pushes_each
+            || self.given_up.len() >= MOST_GIVEN_UP
+            || self.buffer.unsent() > MOST_UNSENT;
         !full && !stale && !known && !self.mute(stated, now)
     }
 
--- a/crates/router/src/transport/links.rs
+++ b/crates/router/src/transport/links.rs
@@ -35,14 +35,18 @@
     }
 
     pub fn push(&mut self, push: PushId, engine: u64, address: SocketAddr, ask: &Ask, now: f64) {
-        let here = |link: &Link| link.engine == engine && link.address == address;
-        let fit = self.links.iter().filter(|(_, link)| here(link) && link.takes(ask.id, &self.stated, now));
-        let id = match fit.max_by_key(|(&id, link)| (link.up(), id)).map(|(&id, _)| id) {
-            Some(id) => id,
-            None => match self.open(engine, address, now) {
-                Ok(id) => id,
-                Err(failure) => return self.ends.push((push, Err(failure))),
-            },
+        let mut found = self.find(engine, address, ask.id, now);
+        // An idle one that its engine has just closed would lose the push: that is looked at first.
+        while let Some(id) = found.filter(|id| self.links[id].up() && self.links[id].carries() == 0) {
+            self.work(id, Readiness { readable: true, writable: false, error: false }, now);
+            if self.links.contains_key(&id) {
+                break;
+            }
+            found = self.find(engine, address, ask.id, now);
+        }
+        let id = match found.map_or_else(|| self.open(engine, address, now), Ok) {
+            Ok(id) => id,
+            Err(failure) => return self.ends.push((push, Err(failure))),
         };
         self.link_of.insert(push, id);
         let link = self.links.get_mut(&id).expect("just found");
@@ -51,6 +55,13 @@
         }
     }
 
+    /// A connection that takes the push: one that is up before one that is coming up.
+    fn find(&self, engine: u64, address: SocketAddr, push: &str, now: f64) -> Option<u64> {
+        let here = |link: &Link| link.engine == engine && link.address == address;
+        let fit = self.links.iter().filter(|(_, link)| here(link) && link.takes(push, &self.stated, now));
+        fit.max_by_key(|(&id, link)| (link.up(), id)).map(|(&id, _)| id)
+    }
+
     fn open(&mut self, engine: u64, address: SocketAddr, now: f64) -> Result<u64, Failure> {
         if self.links.len() >= self.most && !self.make_room() {
             self.counters.descriptors_short += 1;
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -24,7 +24,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Sessions and links are looked over so often for what has stalled.
-const SWEEP: f64 = 0.5;
+const SWEEP: f64 = 0.25;
 /// After a planned stop, requests come for this long, and the router is killed so long after its longest job.
 const STILL_COMING: f64 = 0.75;
 const KILLED_AFTER: f64 = 0.7;
@@ -146,28 +146,46 @@
     serving: bool,
     /// When this turn was due, if nothing became ready before.
     wake: f64,
+    clock: Clock,
     /// When the router was told to stop, and by when it must have.
     stopping: Option<(f64, f64)>,
     longest_job: f64,
 }
 
-fn clock() -> f64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |since| since.as_secs_f64())
+/// The Unix clock; where that is set back, time goes on from where it was.
+#[derive(Default)]
+struct Clock {
+    last: f64,
+    set_back: f64,
+}
+
+impl Clock {
+    fn read(&mut self) -> f64 {
+        self.at(SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |since| since.as_secs_f64()))
+    }
+
+    fn at(&mut self, unix: f64) -> f64 {
+        if unix + self.set_back < self.last {
+            self.set_back = self.last - unix;
+        }
+        self.last = unix + self.set_back;
+        self.last
+    }
 }
 
 /// Serves until it is told to stop and every job has its answer.
-pub fn serve(place: Place, mut routing: Routing, news: News) -> io::Result<Counters> {
+pub fn serve(place: Place, routing: Routing, news: News) -> io::Result<Counters> {
     let mut event_loop: EventLoop<Ready> = EventLoop::try_new()?;
     let handle = event_loop.handle();
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1])?;
     let noted =
         handle.insert_source(signals, |event, _, ready: &mut Ready| ready.signals.push(event.signal()));
     noted.map_err(|error| io::Error::other(error.error))?;
-    let now = clock();
+    let mut clock = Clock::default();
+    let now = clock.read();
     let longest_job = place.links.longest_job;
     let sessions = Sessions::open(&handle, place.listen, place.descriptors, place.memory)?;
     let links = Links::new(&handle, place.links, place.descriptors / 4);
-    routing.counters().turns = 0;
     let mut server = Server {
         board: BoardLink::new(place.board, place.last_event, place.memory / 16, now),
         net: Net { sessions, links, now },
@@ -177,6 +195,7 @@
         again: Vec::new(),
         sweep_at: now,
         wake: f64::INFINITY,
+        clock,
         serving: false,
         stopping: None,
         longest_job,
@@ -188,7 +207,7 @@
             let counters = server.counters();
             return Ok(counters);
         }
-        let wait = (server.wake - clock()).clamp(0.0, 1.0);
+        let wait = (server.wake - server.clock.read()).clamp(0.0, 1.0);
         match event_loop.dispatch(Some(Duration::from_secs_f64(wait)), &mut ready) {
             Err(calloop::Error::IoError(error)) if error.kind() != io::ErrorKind::Interrupted => {
                 return Err(error)
@@ -201,8 +220,7 @@
 
 impl Server {
     fn turn(&mut self, ready: &mut Ready) {
-        // A clock that is set back must not hold anything up.
-        let now = clock().max(self.net.now);
+        let now = self.clock.read();
         self.net.now = now;
         let overslept = ((now - self.wake).max(0.0) * 1e6) as u64;
         let mut sources = std::mem::take(&mut ready.sources);
@@ -241,9 +259,10 @@
         self.again.extend(self.net.links.unfinished());
         self.again.extend(self.board.unfinished().then_some(Source::Board));
         self.again.extend(self.net.sessions.accepts_more().then_some(Source::Listener));
+        let spent = ((self.clock.read() - now) * 1e6) as u64;
         let counters = self.routing.counters();
         counters.turns += 1;
-        counters.longest_turn_us = counters.longest_turn_us.max(((clock() - now) * 1e6) as u64);
+        counters.longest_turn_us = counters.longest_turn_us.max(spent);
         counters.latest_wake_us = counters.latest_wake_us.max(overslept);
         let stop = self.stopping.map_or(f64::INFINITY, |(at, last)| if now < at { at } else { last });
         let due = [wake, self.sweep_at, self.board.due(), self.net.links.due(), stop];
@@ -273,9 +292,9 @@
     }
 
     fn stopped(&self) -> bool {
-        let done = self.routing.open() == 0 && self.net.sessions.unsent() == 0;
-        self.stopping
-            .is_some_and(|(at, last)| self.net.now >= at && done || self.net.now >= last + STOP_MARGIN / 2.0)
+        let done = || self.routing.open() == 0 && self.net.sessions.unsent() == 0;
+        let over = |(at, last)| self.net.now >= at && done() || self.net.now >= last + STOP_MARGIN / 2.0;
+        self.stopping.is_some_and(over)
     }
 
     fn board(&mut self, readiness: Readiness, now: f64) {
@@ -295,7 +314,7 @@
             if let Some(address) = self.board.wants_connection(now) {
                 let wire = connect(&self.handle, address, Source::Board);
                 if let Err(error) = &wire {
-                    log::warn!("notice board {address}: {error}");
+                    log::debug!("notice board {address}: {error}");
                 }
                 self.board.connecting(wire.ok(), now);
             } else {
@@ -310,3 +329,15 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::Clock;
+
+    #[test]
+    fn a_clock_that_is_set_back_holds_nothing_up() {
+        let mut clock = Clock::default();
+        let read: Vec<f64> = [100.0, 101.0, 41.0, 42.5, 42.0, 43.0].map(|unix| clock.at(unix)).into();
+        assert_eq!(read, [100.0, 101.0, 101.0, 102.5, 102.5, 103.5]);
+    }
+}
--- a/crates/router/src/transport/sessions.rs
+++ b/crates/router/src/transport/sessions.rs
@@ -14,7 +14,8 @@
 const BACKLOG: i32 = 1024;
 /// So many connections are accepted in one turn.
 const ACCEPTED: usize = 64;
-/// A statement may be as long as this, if memory allows.
+/// A statement may be as long as memory allows, between these.
+const LEAST: usize = 16 * 1024;
 const LONGEST: usize = 1024 * 1024;
 
 pub struct Sessions {
@@ -25,8 +26,9 @@
     most: usize,
     longest: usize,
     next: SessionId,
-    /// Connections may be waiting to be accepted.
+    /// Connections may be waiting to be accepted; none is until the next sweep, after one could not be.
     accepts: bool,
+    paused: bool,
     /// Those to be looked at again.
     again: Vec<SessionId>,
     kills: Vec<(SessionId, SessionId, bool)>,
@@ -55,9 +57,10 @@
             listener,
             sessions: HashMap::new(),
             most,
-            longest: (memory / 4 / most).min(LONGEST),
+            longest: (memory / 4 / most).clamp(LEAST, LONGEST),
             next: 1,
             accepts: false,
+            paused: false,
             again: Vec::new(),
             kills: Vec::new(),
             curious: Vec::new(),
@@ -68,7 +71,7 @@
     pub fn accept(&mut self, now: f64) {
         self.accepts = true;
         for _ in 0..ACCEPTED {
-            if self.sessions.len() >= self.most && !self.make_room() {
+            if self.paused || self.sessions.len() >= self.most && !self.make_room() {
                 return;
             }
             match self.listener.accept() {
@@ -83,11 +86,13 @@
                 }
                 Err(error) if out_of_descriptors(&error) => {
                     self.counters.descriptors_short += 1;
-                    if !self.make_room() {
-                        return;
-                    }
+                    self.paused = !self.make_room();
+                }
+                Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
+                Err(error) => {
+                    log::debug!("accept: {error}");
+                    self.paused = true;
                 }
-                Err(error) => log::debug!("accept: {error}"),
             }
         }
     }
@@ -132,6 +137,9 @@
         }
         let worked = guarded("a session", || session.work(serving));
         let mut closed = session.closed();
+        if session.reads_on() {
+            self.again.push(id);
+        }
         match worked {
             Some(Ok(None)) => {}
             Some(Ok(Some(Heard::Asked(request)))) => news.asked.push((id, request)),
@@ -219,6 +227,7 @@
         for id in closed.map(|(&id, _)| id).collect::<Vec<_>>() {
             self.end(id, news);
         }
+        self.paused = false;
         if self.accepts {
             self.accept(now);
         }
@@ -226,7 +235,9 @@
 
     /// Connections wait to be accepted, and there is room for them.
     pub fn accepts_more(&self) -> bool {
-        self.accepts && (self.sessions.len() < self.most || self.sessions.values().any(Session::spare))
+        self.accepts
+            && !self.paused
+            && (self.sessions.len() < self.most || self.sessions.values().any(Session::spare))
     }
 
     pub fn unsent(&self) -> usize {
@@ -239,9 +250,7 @@
 
     /// What is to be looked at in the next turn, though nothing becomes ready.
     pub fn unfinished(&mut self) -> Vec<Source> {
-        let again = std::mem::take(&mut self.again).into_iter();
-        let unfinished = |id: &SessionId| self.sessions.get(id).is_some_and(|s| s.unfinished() || s.closed());
-        again.filter(unfinished).map(Source::Session).collect()
+        std::mem::take(&mut self.again).into_iter().map(Source::Session).collect()
     }
 
     pub fn count(&self, counters: &mut Counters) {
