A board that cannot be reached no longer spins the loop; counters in the form drivers read

At fault: `BoardLink::lost` left `readable` set by the refused connection, so `unfinished` asked for the next turn at once; `connecting` reset it only for the quarter second's retry. Log lines are bounded to 200 a second, and a dead engine's refused connections are no longer told each time.

--- a/crates/router/src/log_lines.rs
+++ b/crates/router/src/log_lines.rs
@@ -1,14 +1,18 @@
-//! Log lines go to standard error as far as it takes them at once: a slow reader loses lines, and never holds up
-//! the loop.
+//! Log lines go to standard error as far as it takes them at once, and no more than so many a second: a slow reader
+//! or a flood of one kind loses lines, and never holds up the loop.
 
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io::{self, Write};
+use std::time::{Duration, Instant};
 
 /// A pipe that is ready takes this much without waiting.
 const LONGEST: usize = 4096;
+const MOST_A_SECOND: u32 = 200;
 
 struct Lines {
     lost: u64,
+    second: Instant,
+    lines: u32,
 }
 
 impl Lines {
@@ -22,7 +26,11 @@
 
 impl Write for Lines {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if !Lines::ready() {
+        if self.second.elapsed() >= Duration::from_secs(1) {
+            (self.second, self.lines) = (Instant::now(), 0);
+        }
+        self.lines += 1;
+        if self.lines > MOST_A_SECOND || !Lines::ready() {
             self.lost += 1;
             return Ok(line.len());
         }
@@ -47,6 +55,6 @@
 
 pub fn start() {
     let filter = env_logger::Env::default().default_filter_or("info");
-    let lines = env_logger::Target::Pipe(Box::new(Lines { lost: 0 }));
+    let lines = env_logger::Target::Pipe(Box::new(Lines { lost: 0, second: Instant::now(), lines: 0 }));
     env_logger::Builder::from_env(filter).target(lines).init();
 }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -48,7 +48,7 @@
 
 fn serve(config: Option<PathBuf>) -> Result<(), String> {
     let told = told(config)?;
-    log::info!("{} listens on {}", told.name, told.place.listen);
+    log::info!("{} starts, version {}", told.name, env!("CARGO_PKG_VERSION"));
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     let now = now.map_or(0.0, |since| since.as_secs_f64());
     let routing = Routing::new(told.deployment, told.names, told.seed, now);
--- a/crates/router/src/transport/board.rs
+++ b/crates/router/src/transport/board.rs
@@ -84,7 +84,7 @@
         let level =
             if std::mem::replace(&mut self.away, true) { log::Level::Debug } else { log::Level::Warn };
         log::log!(level, "notice board lost: {why}; the list of event {} stands", self.last);
-        self.state = State::Down { retry_at: now + RETRY };
+        (self.state, self.readable) = (State::Down { retry_at: now + RETRY }, false);
         self.wire.take().map(|(token, _)| token)
     }
 
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -50,6 +50,8 @@
     readable: bool,
     ended: bool,
     closes_after: bool,
+    /// Its bytes were no protocol.
+    pub malformed: bool,
     /// When it last did something.
     pub since: f64,
 }
@@ -83,6 +85,7 @@
             readable: true,
             ended: false,
             closes_after: false,
+            malformed: false,
             since: now,
         };
         mysql::greeting(&mut session.scratch, id, random());
@@ -182,6 +185,7 @@
 
     fn refuse(&mut self, bad: mysql::Bad) {
         log::debug!("session {}: {}", self.id, bad.why);
+        self.malformed = true;
         mysql::error(&mut self.scratch, &mut self.sequence, bad.code, bad.why);
         self.send();
         self.close_after();
--- a/crates/router/src/transport/engine.rs
+++ b/crates/router/src/transport/engine.rs
@@ -143,12 +143,7 @@
     pub fn useless(&mut self, stated: &Links, now: f64) -> bool {
         let mute = self.mute(stated, now);
         if mute && !std::mem::replace(&mut self.known_mute, mute) {
-            log::info!(
-                "engine {} at {}: gives no sign, with {} pushes",
-                self.engine,
-                self.address,
-                self.carries()
-            );
+            log::info!("connection to {}: gives no sign, with {} pushes", self.address, self.carries());
         }
         mute && self.carries() == 0
     }
--- a/crates/router/src/transport/links.rs
+++ b/crates/router/src/transport/links.rs
@@ -81,7 +81,7 @@
                 Err(Failure::NeverSent)
             }
             Err(error) => {
-                log::debug!("engine {engine} at {address}: {error}");
+                log::debug!("connection to {address}: {error}");
                 self.counters.links_failed += 1;
                 Err(Failure::Refused)
             }
@@ -106,20 +106,22 @@
         match why {
             Broken::Malformed(_) => {
                 self.counters.links_malformed += 1;
-                log::warn!("engine {} at {}: {why}", link.engine, link.address);
+                log::warn!("connection to {}: {why}", link.address);
             }
             _ if !link.up() => self.counters.links_failed += 1,
             _ => {}
         }
-        let level = if link.carries() > 0 { log::Level::Info } else { log::Level::Debug };
-        log::log!(level, "engine {} at {}: {why}, with {} pushes", link.engine, link.address, link.carries());
+        let level = if link.up() && link.carries() > 0 { log::Level::Info } else { log::Level::Debug };
+        log::log!(level, "connection to {}: {why}, with {} pushes", link.address, link.carries());
         self.close(id);
     }
 
     pub fn work(&mut self, id: u64, readiness: Readiness, now: f64) {
         let Some(link) = self.links.get_mut(&id) else { return };
         let ends = &mut self.ends;
-        let worked = guarded("an engine", || link.work(readiness.readable, readiness.writable, now, ends));
+        let worked = guarded("a connection to an engine", || {
+            link.work(readiness.readable, readiness.writable, now, ends)
+        });
         match worked {
             Some(Ok(())) => {}
             Some(Err(why)) => self.broken(id, why),
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -248,7 +248,7 @@
             self.net.sessions.unusable(session, &why, now);
         }
         if !self.net.sessions.curious.is_empty() {
-            let counters = self.counters().to_string();
+            let counters = self.counters();
             self.net.sessions.tell(&counters, now);
         }
         if !self.serving && self.routing.ready() {
--- a/crates/router/src/transport/sessions.rs
+++ b/crates/router/src/transport/sessions.rs
@@ -50,6 +50,7 @@
         socket.bind(&listen.into())?;
         socket.listen(BACKLOG)?;
         let listener = Rc::new(TcpListener::from(socket));
+        log::info!("listens on {listen}");
         let most = (descriptors / 2).max(1);
         Ok(Sessions {
             _token: watch(handle, listener.clone(), Source::Listener)?,
@@ -140,6 +141,7 @@
         if session.reads_on() {
             self.again.push(id);
         }
+        self.counters.sessions_malformed += u64::from(std::mem::take(&mut session.malformed));
         match worked {
             Some(Ok(None)) => {}
             Some(Ok(Some(Heard::Asked(request)))) => news.asked.push((id, request)),
@@ -209,12 +211,13 @@
         }
     }
 
-    /// Answers those that asked for the counters.
-    pub fn tell(&mut self, counters: &str, now: f64) {
+    /// Answers those that asked for the counters, in the form that drivers take apart.
+    pub fn tell(&mut self, counters: &Counters, now: f64) {
+        let counters = counters.to_string().replace(' ', "  ").replace('=', ": ");
         for id in std::mem::take(&mut self.curious) {
             if let Some(session) = self.sessions.get_mut(&id) {
                 session.since = now;
-                session.text(counters);
+                session.text(&counters);
                 self.again.push(id);
             }
         }
@@ -259,6 +262,7 @@
         counters.sessions = own.sessions;
         counters.sessions_open = self.sessions.len() as u64;
         counters.sessions_closed_for_room = own.sessions_closed_for_room;
+        counters.sessions_malformed = own.sessions_malformed;
         counters.descriptors_short += own.descriptors_short;
         counters.panics += own.panics;
     }
--- a/crates/router/tests/standins/mod.rs
+++ b/crates/router/tests/standins/mod.rs
@@ -246,7 +246,7 @@
         let log = Seen::default();
         let (lines, seen) = (BufReader::new(child.stderr.take().unwrap()).lines(), log.clone());
         std::thread::spawn(move || lines.map_while(Result::ok).for_each(|line| seen.add(&line)));
-        log.wait("notice board connected", 1);
+        log.wait("listens on", 1);
         std::fs::remove_file(file).unwrap();
         Router { address, log, child }
     }
@@ -272,6 +272,7 @@
 
 /// The counter's value in a line of them.
 pub fn counter(line: &str, name: &str) -> u64 {
+    let line = if line.contains('=') { line.to_string() } else { line.replace(": ", "=") };
     let mut words = line.split(' ').filter_map(|word| word.split_once('='));
     words.find(|(key, _)| *key == name).map_or(u64::MAX, |(_, value)| value.parse().unwrap())
 }
--- a/crates/router/tests/whole.rs
+++ b/crates/router/tests/whole.rs
@@ -93,6 +93,7 @@
     half.stream.shutdown(Shutdown::Both).unwrap();
     assert!(half.closed());
     assert_eq!(good.ask(&job("look", 5000, "x")), rows(1));
+    good.counters("sessions_malformed", 4);
 }
 
 #[test]
@@ -291,3 +292,18 @@
     board.tell(true, &[Engine::start("e").entry("ready")]);
     assert_eq!(client.answer(), Answered::Ok);
 }
+
+#[test]
+fn a_board_that_is_away_costs_no_turns() {
+    let engine = Engine::start("e");
+    let vacant = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let mut board = Board::start();
+    board.address = vacant;
+    board.tell(true, &[engine.entry("ready")]);
+    let router = Router::start(&board);
+    let mut client = Client::new(&router);
+    // Half a second passes while this waits for its cut-off.
+    assert!(matches!(client.ask(&job("look", 500, "hold")), Answered::Error(1040, _)));
+    let turns = counter(&client.counters("turned_back", 1), "turns");
+    assert!(turns < 300, "{turns} turns");
+}
