--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -14,6 +14,8 @@
 const LOGIN: f64 = 10.0;
 const STALLED: f64 = 30.0;
 const CLOSING: f64 = 1.0;
+/// So many packets are taken in one turn.
+const PACKETS: usize = 16;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum State {
@@ -49,6 +51,8 @@
     longest: usize,
     readable: bool,
     ended: bool,
+    /// Whole packets may be left of what was read.
+    cut_short: bool,
     closes_after: bool,
     /// Its bytes were no protocol.
     pub malformed: bool,
@@ -84,6 +88,7 @@
             longest,
             readable: true,
             ended: false,
+            cut_short: false,
             closes_after: false,
             malformed: false,
             since: now,
@@ -110,9 +115,14 @@
         self.buffer.unsent()
     }
 
-    /// More may be ready than was read: no readiness will tell of it again.
+    /// More may be ready than was read or taken: no readiness will tell of it again.
     pub fn reads_on(&self) -> bool {
-        self.readable && self.spare()
+        (self.readable || self.cut_short) && self.spare()
+    }
+
+    /// How little would be lost with it: nothing that has begun to come in, and the longest idle first.
+    pub fn worth(&self) -> (bool, f64) {
+        (!self.buffer.input().is_empty(), self.since)
     }
 
     pub fn ready(&mut self, readable: bool, now: f64) {
@@ -144,11 +154,19 @@
             }
         }
         let mut heard = None;
-        while heard.is_none() && matches!(self.state, State::Login | State::Idle) && self.buffer.unsent() == 0
-        {
+        self.cut_short = true;
+        for _ in 0..PACKETS {
+            let takes = matches!(self.state, State::Login | State::Idle) && self.buffer.unsent() == 0;
+            self.cut_short = takes && heard.is_none();
+            if !self.cut_short {
+                break;
+            }
             let packet = match mysql::packet(self.buffer.input(), self.longest) {
                 Ok(Some(packet)) => packet,
-                Ok(None) => break,
+                Ok(None) => {
+                    self.cut_short = false;
+                    break;
+                }
                 Err(bad) => {
                     self.refuse(bad);
                     break;
@@ -156,6 +174,7 @@
             };
             let (sequence, body) = (packet.sequence, packet.body.to_vec());
             if !serving && body.first() == Some(&0x0e) && self.state == State::Idle {
+                self.cut_short = false;
                 return Ok(None);
             }
             self.buffer.taken(mysql::HEADER + body.len());
@@ -176,8 +195,7 @@
             let length = self.buffer.input().len();
             self.buffer.taken(length);
         }
-        let done = matches!(self.state, State::Login | State::Idle | State::Closing) && heard.is_none();
-        if self.ended && done && self.buffer.unsent() == 0 {
+        if self.ended && !self.cut_short && heard.is_none() && self.spare() {
             self.state = State::Closed;
         }
         Ok(heard)
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -183,7 +183,7 @@
     noted.map_err(|error| io::Error::other(error.error))?;
     let mut clock = Clock::default();
     let now = clock.read();
-    let longest_job = place.links.longest_job;
+    let longest_job = place.links.longest_job.unwrap_or(LONGEST_GIVEN);
     let sessions = Sessions::open(&handle, place.listen, place.descriptors, place.memory)?;
     let links = Links::new(&handle, place.links, place.descriptors / 4);
     let mut server = Server {
@@ -229,9 +229,10 @@
         for signal in std::mem::take(&mut ready.signals) {
             self.signal(signal, now);
         }
+        let accepts = sources.iter().any(|(source, _)| *source == Source::Listener);
         for (source, readiness) in sources {
             match source {
-                Source::Listener => self.net.sessions.accept(now),
+                Source::Listener => {}
                 Source::Session(id) => {
                     self.net.sessions.work(id, readiness, self.serving, now, &mut self.news)
                 }
@@ -239,6 +240,10 @@
                 Source::Board => self.board(readiness, now),
             }
         }
+        // Last, as those that are closed for room must have nothing unread.
+        if accepts {
+            self.net.sessions.accept(now);
+        }
         self.due(now);
         let mut news = std::mem::take(&mut self.news);
         self.net.links.ended(&mut news.ends);
--- a/crates/router/src/transport/sessions.rs
+++ b/crates/router/src/transport/sessions.rs
@@ -10,8 +10,10 @@
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 const BACKLOG: i32 = 1024;
+const BIND: Duration = Duration::from_secs(2);
 /// So many connections are accepted in one turn.
 const ACCEPTED: usize = 64;
 /// A statement may be as long as memory allows, between these.
@@ -47,7 +49,14 @@
         let socket = Socket::new(Domain::for_address(listen), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         socket.set_reuse_address(true)?;
-        socket.bind(&listen.into())?;
+        let begun = Instant::now();
+        while let Err(error) = socket.bind(&listen.into()) {
+            // The one before us may still be ending.
+            if error.kind() != ErrorKind::AddrInUse || begun.elapsed() > BIND {
+                return Err(error);
+            }
+            std::thread::sleep(BIND / 100);
+        }
         socket.listen(BACKLOG)?;
         let listener = Rc::new(TcpListener::from(socket));
         log::info!("listens on {listen}");
@@ -117,9 +126,11 @@
     /// Closes the session that has been idle for longest; none may be.
     fn make_room(&mut self) -> bool {
         let spare = self.sessions.iter().filter(|(_, session)| session.spare());
-        let Some(id) = spare.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(&id, _)| id) else {
-            return false;
-        };
+        let least = spare.min_by(|a, b| {
+            let (a, b) = (a.1.worth(), b.1.worth());
+            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+        });
+        let Some(id) = least.map(|(&id, _)| id) else { return false };
         self.counters.sessions_closed_for_room += 1;
         self.remove(id);
         true
--- a/crates/start/src/lib.rs
+++ b/crates/start/src/lib.rs
@@ -25,7 +25,7 @@
     pub idle_after: f64,
     pub pushes_each: usize,
     /// How long a client waits for a job at most.
-    pub longest_job: f64,
+    pub longest_job: Option<f64>,
 }
 
 /// What is stated, by the wire's paths.
@@ -119,7 +119,7 @@
         let longest = |at| self.time(&format!("categories.{at}.hard-limit-us"), 0.0);
         let limits: Vec<f64> = (0..self.count("categories")?).map(longest).collect::<Result<_, _>>()?;
         Ok(Links {
-            longest_job: limits.into_iter().fold(0.0, f64::max),
+            longest_job: limits.into_iter().reduce(f64::max).filter(|&longest| longest > 0.0),
             connect_time_out: self.time("limits.connect-timeout-us", 0.25)?,
             idle_after: self.time("limits.conn-idle-us", 15.0)?,
             pushes_each: self.number("limits.multiplex", 1.0)?.max(1.0) as usize,
