A machine that vanished takes its pushes with it in a second, instead of their time-outs

No sign for half a second with pushes out: the engine is asked; no sign within the connect time-out: another connection is begun; if that does not come up either, the mute ones end as broken and the module may push again. Measured with a stand-in that takes one connection and says nothing: a heavy pure job (time-out 16 s and more) is served elsewhere and an effectful one terminated after about 1.2 s. The stand-ins' vacant ports are on addresses of their own now: a test saw another's listener there, once in nine runs.

--- a/crates/router/src/transport/engine.rs
+++ b/crates/router/src/transport/engine.rs
@@ -16,8 +16,8 @@
 /// Ids given up on a connection are kept for as long as it lives, as their answers may still come; with so many
 /// of them it takes nothing new.
 const MOST_GIVEN_UP: usize = 1000;
-/// So long without a sign, an engine with pushes out is asked for one.
-const QUIET: f64 = 1.0;
+/// An engine with pushes out that has given no sign for so long is asked for one.
+const QUIET: f64 = 0.5;
 const SIGN: &str = "sign";
 /// An idle connection is left alone so much of its time before its engine would close it.
 const IDLE_CAUTION: f64 = 0.9;
@@ -52,13 +52,16 @@
     /// When its engine last gave a sign, and when it was asked for one since.
     heard_at: f64,
     asked_at: Option<f64>,
-    known_mute: bool,
+    /// It has been found to give no sign.
+    pub known_mute: bool,
     pub answers_dropped: u64,
 }
 
 /// Why a connection ends.
 pub enum Broken {
     Closed,
+    /// Neither a sign nor a new connection could be had.
+    Vanished,
     Io(io::Error),
     Malformed(&'static str),
 }
@@ -67,6 +70,7 @@
     fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
         match self {
             Broken::Closed => to.write_str("closed by the engine"),
+            Broken::Vanished => to.write_str("its machine is gone"),
             Broken::Io(error) => error.fmt(to),
             Broken::Malformed(words) => write!(to, "malformed answer: {words}"),
         }
@@ -134,20 +138,11 @@
         !full && !stale && !known && !self.mute(stated, now)
     }
 
-    /// No sign came in time: its machine may have vanished, and a new connection shows whether it has.
-    fn mute(&self, stated: &Links, now: f64) -> bool {
+    /// No sign came in time: its machine may have vanished.
+    pub fn mute(&self, stated: &Links, now: f64) -> bool {
         self.asked_at.is_some_and(|asked| now > asked + stated.connect_time_out)
     }
 
-    /// Nothing is lost with it. That its engine gives no sign is told once.
-    pub fn useless(&mut self, stated: &Links, now: f64) -> bool {
-        let mute = self.mute(stated, now);
-        if mute && !std::mem::replace(&mut self.known_mute, mute) {
-            log::info!("connection to {}: gives no sign, with {} pushes", self.address, self.carries());
-        }
-        mute && self.carries() == 0
-    }
-
     /// Asks for a sign of its engine, if none has come for long and pushes wait there.
     pub fn ask(&mut self, now: f64) -> io::Result<()> {
         if self.up() && self.asked_at.is_none() && self.carries() > 0 && now > self.heard_at + QUIET {
--- a/crates/router/src/transport/links.rs
+++ b/crates/router/src/transport/links.rs
@@ -6,6 +6,7 @@
 use crate::routing::{Counters, Failure, Outcome, PushId};
 use calloop::Readiness;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 
 pub struct Links {
@@ -116,7 +117,14 @@
             _ => log::Level::Debug,
         };
         log::log!(level, "connection to {}: {why}, with {} pushes", link.address, link.carries());
+        let (engine, address, up) = (link.engine, link.address, link.up());
         self.close(id);
+        // No sign on the old ones, and no new one comes up: the machine is gone, and its answers with it.
+        if !up && matches!(&why, Broken::Io(error) if error.kind() == ErrorKind::TimedOut) {
+            let mute = |link: &Link| link.engine == engine && link.address == address && link.known_mute;
+            let mute = self.links.iter().filter(|(_, link)| mute(link)).map(|(&id, _)| id);
+            mute.collect::<Vec<_>>().into_iter().for_each(|id| self.broken(id, Broken::Vanished));
+        }
     }
 
     pub fn work(&mut self, id: u64, readiness: Readiness, now: f64) {
@@ -159,14 +167,21 @@
         }
     }
 
-    /// Asks engines that are silent for a sign, and lets go of connections that have given none.
+    /// Asks engines that are silent for a sign. Where none comes, a new connection shows whether the machine is
+    /// there; what carries nothing is let go.
     pub fn sweep(&mut self, now: f64) {
         for id in self.links.keys().copied().collect::<Vec<_>>() {
-            let link = self.links.get_mut(&id).expect("just seen");
-            if link.useless(&self.stated, now) {
+            let Some(link) = self.links.get_mut(&id) else { continue };
+            if !link.mute(&self.stated, now) {
+                if let Err(error) = link.ask(now) {
+                    self.broken(id, Broken::Io(error));
+                }
+            } else if link.carries() == 0 {
                 self.close(id);
-            } else if let Err(error) = link.ask(now) {
-                self.broken(id, Broken::Io(error));
+            } else if !std::mem::replace(&mut link.known_mute, true) {
+                log::info!("connection to {}: gives no sign, with {} pushes", link.address, link.carries());
+                let (engine, address) = (link.engine, link.address);
+                let _ = self.open(engine, address, now);
             }
         }
     }
--- a/crates/router/tests/standins/mod.rs
+++ b/crates/router/tests/standins/mod.rs
@@ -1,5 +1,6 @@
 //! Small stand-ins on loopback for what the router talks to: engines, the notice board, clients.
 
+use socket2::{Domain, Socket, Type};
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -64,6 +65,28 @@
         engine
     }
 
+    /// One that takes a single connection, reads from it and says nothing, like a machine that has vanished: no
+    /// other connection to it comes up.
+    pub fn vanished(uid: &str) -> Engine {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener = TcpListener::from(socket);
+        let engine =
+            Engine { address: listener.local_addr().unwrap(), uid: uid.to_string(), seen: Seen::default() };
+        let served = engine.clone();
+        std::thread::spawn(move || {
+            let (mut stream, _) = listener.accept().unwrap();
+            // Fills the queue that nobody empties.
+            let _filled = TcpStream::connect(served.address).unwrap();
+            let mut text = [0; 4096];
+            while let Ok(1..) = stream.read(&mut text) {
+                served.seen.add(&String::from_utf8_lossy(&text));
+            }
+        });
+        engine
+    }
+
     /// The board's entry for it.
     pub fn entry(&self, state: &str) -> String {
         let (uid, address) = (&self.uid, self.address);
@@ -195,8 +218,15 @@
     }
 }
 
+static VACANT: AtomicU64 = AtomicU64::new(0);
 static ROUTERS: AtomicU64 = AtomicU64::new(0);
 
+/// An address where nothing listens, and that no other listener here can come by.
+pub fn vacant() -> SocketAddr {
+    let host = (VACANT.fetch_add(1, Ordering::Relaxed) % 250) as u8 + 1;
+    TcpListener::bind(SocketAddr::from(([127, 0, 1, host], 0))).unwrap().local_addr().unwrap()
+}
+
 /// The real program.
 pub struct Router {
     pub address: SocketAddr,
@@ -230,9 +260,7 @@
     }
 
     pub fn with(board: &Board, sockets: u32) -> Router {
-        let free = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = free.local_addr().unwrap();
-        drop(free);
+        let address = vacant();
         let text = configuration(&address.to_string(), &board.address.to_string(), &board.known(), sockets);
         let number = ROUTERS.fetch_add(1, Ordering::Relaxed);
         let file = std::env::temp_dir().join(format!("cleatgw-{}-{number}.json", std::process::id()));
--- a/crates/router/tests/whole.rs
+++ b/crates/router/tests/whole.rs
@@ -4,7 +4,7 @@
 
 use standins::*;
 use std::io::{Read, Write};
-use std::net::{Shutdown, TcpListener};
+use std::net::Shutdown;
 use std::process::Command;
 
 /// A board that lists these engines, and a router on it.
@@ -132,10 +132,8 @@
 
 #[test]
 fn a_refused_engine_proves_that_nothing_ran_and_a_reset_does_not() {
-    let refused = TcpListener::bind("127.0.0.1:0").unwrap();
-    let vacant = Engine { address: refused.local_addr().unwrap(), ..Engine::start("vacant") };
-    drop(refused);
-    let (board, router) = started(&[&vacant]);
+    let away = Engine { address: vacant(), ..Engine::start("away") };
+    let (board, router) = started(&[&away]);
     let mut client = Client::new(&router);
     // An effectful job goes on as nothing ran, and is turned back when no engine can be had.
     assert!(
@@ -185,6 +183,28 @@
     assert_eq!(engine.seen.wait("GET", 2).iter().filter(|line| line.contains("on 1")).count(), 1);
 }
 
+#[test]
+fn a_machine_that_vanishes_takes_its_pushes_with_it_and_holds_up_no_other() {
+    let vanished = Engine::vanished("v");
+    let (board, router) = started(&[&vanished]);
+    let mut client = Client::new(&router);
+    // So heavy that their pushes would be waited for long.
+    let heavy = |category: &str| job(category, 20000, "x").replace("work=5.0", "work=4000");
+    client.send(&heavy("look"));
+    vanished.seen.wait("GET", 1);
+    let mut other = Client::new(&router);
+    other.send(&heavy("once"));
+    vanished.seen.wait("queue=once", 1);
+    let good = Engine::start("good");
+    board.tell(false, &[good.entry("ready")]);
+    // What is pure goes elsewhere, what is effectful may have run.
+    assert_eq!(client.answer(), rows(1));
+    assert!(matches!(other.answer(), Answered::Error(1105, _)));
+    router.log.wait("its machine is gone, with 2 pushes", 1);
+    let counters = client.counters("open", 0);
+    assert_eq!((counter(&counters, "pushes_broken"), counter(&counters, "pushes_timed_out")), (2, 0));
+}
+
 #[test]
 fn the_board_may_drop_talk_nonsense_and_replace_engines_at_their_address() {
     let first = Engine::start("first");
@@ -296,9 +316,8 @@
 #[test]
 fn a_board_that_is_away_costs_no_turns() {
     let engine = Engine::start("e");
-    let vacant = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let mut board = Board::start();
-    board.address = vacant;
+    board.address = vacant();
     board.tell(true, &[engine.entry("ready")]);
     let router = Router::start(&board);
     let mut client = Client::new(&router);
