A gap in the board's events is asked for once; estimates beyond any machine are absent

Read through by eye. A driver's list of more than 250 values is refused, as its count would not fit its byte.

--- a/crates/router/src/protocol/statement.rs
+++ b/crates/router/src/protocol/statement.rs
@@ -42,6 +42,11 @@
     pub statement: Vec<u8>,
 }
 
+/// What is more than a day, or more than any machine has, is no estimate.
+const LONGEST_MS: f64 = 86_400e3;
+const MOST_MB: f64 = 16e6;
+const MOST_VALUES: usize = 250;
+
 /// Reads a statement, or says why nothing can be made of it.
 pub fn read(statement: &[u8]) -> Result<Asked, String> {
     if let Some((fields, rest)) = fields_comment(statement) {
@@ -89,8 +94,9 @@
             .find(|(key, _)| *key == name)
             .map(|(_, value)| value)
     };
-    let number =
-        |name: &str| field(name)?.parse::<f64>().ok().filter(|value| value.is_finite() && *value > 0.0);
+    let number = |name: &str, most: f64| {
+        field(name)?.parse::<f64>().ok().filter(|value| (0.0..=most).contains(value) && *value > 0.0)
+    };
     let plain = |text: &&str| {
         (1..=64).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_graphic() && byte != b'=')
     };
@@ -104,10 +110,10 @@
     Ok(Request {
         id: field("call").filter(hex).ok_or_else(|| need("call", "16 hex digits"))?.to_string(),
         category: field("op").filter(plain).ok_or_else(|| need("op", "a category"))?.to_string(),
-        patience: number("ttl").ok_or_else(|| need("ttl", "milliseconds"))? / 1e3,
+        patience: number("ttl", LONGEST_MS).ok_or_else(|| need("ttl", "milliseconds"))? / 1e3,
         receipt: field("dedupe").filter(plain).map(str::to_string),
-        work: number("work").map(|ms| ms / 1e3),
-        memory_mb: number("mb"),
+        work: number("work", LONGEST_MS).map(|ms| ms / 1e3),
+        memory_mb: number("mb", MOST_MB),
         table_group: table_group(statement),
         statement: statement.to_vec(),
     })
@@ -282,6 +288,9 @@
 fn values(tokens: &[Token]) -> Option<Vec<(String, Value)>> {
     let end = tokens.iter().position(|token| token.is("LIMIT") || *token == Token::Sign(b';'));
     let items = tokens[..end.unwrap_or(tokens.len())].split(|token| *token == Token::Sign(b','));
+    if items.clone().count() > MOST_VALUES {
+        return None;
+    }
     items
         .map(|item| {
             let alias = item.iter().position(|token| token.is("AS"));
@@ -362,7 +371,14 @@
 
     #[test]
     fn odd_optional_fields_are_absent() {
-        for odd in ["", ",work=,mb=", ",work=much,mb=-3", ",work=NaN,mb=inf,dedupe=a b", ",,=,work"] {
+        for odd in [
+            "",
+            ",work=,mb=",
+            ",work=much,mb=-3",
+            ",work=NaN,mb=inf,dedupe=a b",
+            ",,=,work",
+            ",work=1e300,mb=1e30",
+        ] {
             let request = job(&format!("/*{FIELDS}{odd}*/SELECT 1 FROM a_1.b"));
             assert_eq!((request.work, request.memory_mb, request.receipt), (None, None, None), "{odd}");
         }
--- a/crates/router/src/transport/board.rs
+++ b/crates/router/src/transport/board.rs
@@ -28,7 +28,7 @@
     readable: bool,
     /// The last event held.
     last: u64,
-    /// Events were missed twice: the board is asked for all of them.
+    /// An event was missed, and the board asked again: what it has now is all there is.
     gap: bool,
     away: bool,
     counters: Counters,
@@ -112,7 +112,8 @@
                 if !writable || stream.peer_addr().is_err() {
                     return if now < until { Ok(()) } else { Err("no connection came up".to_string()) };
                 }
-                log::info!("notice board connected, from event {}", self.last);
+                let level = if self.away { log::Level::Debug } else { log::Level::Info };
+                log::log!(level, "notice board connected, from event {}", self.last);
                 self.state = State::Up { heard_at: now };
                 self.counters.board_connects += 1;
                 let mut ask = Vec::new();
@@ -131,7 +132,10 @@
         let reached = self.buffer.read(&*stream, self.longest).map_err(words)?;
         self.readable = reached == Reached::More;
         while let Some(end) = self.buffer.input().iter().position(|&byte| byte == b'\n') {
-            (self.state, self.away) = (State::Up { heard_at: now }, false);
+            self.state = State::Up { heard_at: now };
+            if std::mem::replace(&mut self.away, false) {
+                log::info!("notice board heard again, from event {}", self.last);
+            }
             let line = board::line(&self.buffer.input()[..end]);
             self.buffer.taken(end + 1);
             let line = line.map_err(|board::Malformed(why)| {
@@ -156,10 +160,7 @@
         };
         let next = self.last + u64::from(event.is_some());
         let starts = event.as_ref().is_some_and(|event| matches!(event.list, Some((true, _))));
-        if number > next && !starts {
-            if std::mem::replace(&mut self.gap, true) {
-                (self.last, self.gap) = (0, false);
-            }
+        if number > next && !starts && !std::mem::replace(&mut self.gap, true) {
             return Err(format!("event {next} is missing, {number} came"));
         }
         if let Some(event) = event.filter(|_| number > self.last) {
@@ -170,3 +171,23 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn events_are_applied_once_in_order_and_a_gap_is_asked_for_once() {
+        let mut link = BoardLink::new(None, 3, 1000, 0.0);
+        let mut events = Vec::new();
+        let event = |number| Line::Event(Event { number, list: None });
+        assert!(link.heard(event(2), &mut events).is_ok() && link.heard(Line::Last(3), &mut events).is_ok());
+        assert!(events.is_empty());
+        assert!(link.heard(event(4), &mut events).is_ok());
+        assert!(link.heard(event(6), &mut events).is_err(), "five is missing");
+        assert!(link.heard(event(6), &mut events).is_ok(), "the board has no five");
+        assert!(link.heard(Line::Last(8), &mut events).is_err(), "seven and eight are missing");
+        let numbers: Vec<u64> = events.iter().map(|event| event.number).collect();
+        assert_eq!(numbers, [4, 6]);
+    }
+}
