--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -8,6 +8,7 @@
 
 use bpaf::{construct, long, positional, pure, OptionParser, Parser};
 use routing::{News, Routing};
+use rustix::process::{getrlimit, Resource};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -47,7 +48,10 @@
 }
 
 fn serve(config: Option<PathBuf>) -> Result<(), String> {
-    let told = told(config)?;
+    let mut told = told(config)?;
+    // The system may allow fewer descriptors than the configuration does.
+    let allowed = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
+    told.place.descriptors = told.place.descriptors.min(allowed.try_into().unwrap_or(usize::MAX));
     log::info!("{} starts, version {}", told.name, env!("CARGO_PKG_VERSION"));
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     let now = now.map_or(0.0, |since| since.as_secs_f64());
--- a/crates/router/tests/standins/mod.rs
+++ b/crates/router/tests/standins/mod.rs
@@ -265,7 +265,9 @@
         let number = ROUTERS.fetch_add(1, Ordering::Relaxed);
         let file = std::env::temp_dir().join(format!("cleatgw-{}-{number}.json", std::process::id()));
         std::fs::write(&file, text).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_cleatgw"))
+        let limited = format!("ulimit -n {sockets}; exec {}", env!("CARGO_BIN_EXE_cleatgw"));
+        let mut child = Command::new("sh")
+            .args(["-c", &limited])
             .env("BALANCER_CONFIG", &file)
             .env("RUST_LOG", "debug")
             .stderr(Stdio::piped())
--- a/crates/router/tests/whole.rs
+++ b/crates/router/tests/whole.rs
@@ -242,6 +242,25 @@
     assert!(counter(&counters, "descriptors_short") == 0 && counter(&counters, "sessions_open") <= 32);
 }
 
+#[test]
+fn running_out_of_descriptors_costs_idle_sessions_only() {
+    let engine = Engine::start("e");
+    let board = Board::start();
+    board.tell(true, &[engine.entry("ready")]);
+    // Fewer than the router's shares for clients and engines and what it needs itself.
+    let router = Router::with(&board, 20);
+    let mut open = Client::new(&router);
+    open.send(&job("look", 20000, "hold"));
+    engine.seen.wait("GET", 1);
+    let mut idle: Vec<Client> = (0..30).map(|_| Client::new(&router)).collect();
+    let last = idle.last_mut().unwrap();
+    assert_eq!(last.ask(&job("look", 5000, "x")), rows(1));
+    assert_eq!(last.ask(&format!("KILL QUERY {}", open.session)), Answered::Ok);
+    assert!(matches!(open.answer(), Answered::Error(1317, _)), "it was not closed for room");
+    let counters = last.counters("withdrawn", 1);
+    assert!(counter(&counters, "sessions_closed_for_room") > 15 && counter(&counters, "turns") < 2000);
+}
+
 #[test]
 fn a_planned_stop_serves_what_still_comes_and_answers_every_job() {
     let engine = Engine::start("e");
