--- a/crates/router/src/routing/counters.rs
+++ b/crates/router/src/routing/counters.rs
@@ -7,6 +7,13 @@
         #[derive(Clone, Debug, Default)]
         pub struct Counters { $($(#[$doc])* pub $name: u64,)* }
 
+        impl Counters {
+            /// Adds what another part of the router has counted.
+            pub fn add(&mut self, other: &Counters) {
+                $(self.$name += other.$name;)*
+            }
+        }
+
         impl fmt::Display for Counters {
             fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
                 let counts = [$((stringify!($name), self.$name),)*];
--- a/crates/router/src/transport/board.rs
+++ b/crates/router/src/transport/board.rs
@@ -31,7 +31,7 @@
     /// An event was missed, and the board asked again: what it has now is all there is.
     gap: bool,
     away: bool,
-    counters: Counters,
+    pub counters: Counters,
 }
 
 impl BoardLink {
@@ -50,12 +50,6 @@
         }
     }
 
-    pub fn count(&self, counters: &mut Counters) {
-        counters.board_events = self.counters.board_events;
-        counters.board_connects = self.counters.board_connects;
-        counters.board_malformed = self.counters.board_malformed;
-    }
-
     /// When it must be looked at, whatever comes.
     pub fn due(&self) -> f64 {
         match self.state {
--- a/crates/router/src/transport/links.rs
+++ b/crates/router/src/transport/links.rs
@@ -237,15 +237,9 @@
         self.links.iter().filter(|(_, link)| link.unfinished()).map(|(&id, _)| Source::Link(id))
     }
 
-    pub fn count(&self, counters: &mut Counters) {
-        let own = &self.counters;
-        counters.links = own.links;
-        counters.links_open = self.links.len() as u64;
-        counters.links_failed = own.links_failed;
-        counters.links_malformed = own.links_malformed;
-        counters.descriptors_short += own.descriptors_short;
-        counters.panics += own.panics;
+    pub fn counters(&self) -> Counters {
         let late: u64 = self.links.values().map(|link| link.answers_dropped).sum();
-        counters.answers_dropped += own.answers_dropped + late;
+        let answers_dropped = self.counters.answers_dropped + late;
+        Counters { links_open: self.links.len() as u64, answers_dropped, ..self.counters.clone() }
     }
 }
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -277,9 +277,9 @@
 
     fn counters(&mut self) -> Counters {
         let mut counters = self.routing.counters().clone();
-        self.net.sessions.count(&mut counters);
-        self.net.links.count(&mut counters);
-        self.board.count(&mut counters);
+        counters.add(&self.net.sessions.counters());
+        counters.add(&self.net.links.counters());
+        counters.add(&self.board.counters);
         counters
     }
 
--- a/crates/router/src/transport/sessions.rs
+++ b/crates/router/src/transport/sessions.rs
@@ -267,14 +267,7 @@
         std::mem::take(&mut self.again).into_iter().map(Source::Session).collect()
     }
 
-    pub fn count(&self, counters: &mut Counters) {
-        let own = &self.counters;
-        counters.unusable = own.unusable;
-        counters.sessions = own.sessions;
-        counters.sessions_open = self.sessions.len() as u64;
-        counters.sessions_closed_for_room = own.sessions_closed_for_room;
-        counters.sessions_malformed = own.sessions_malformed;
-        counters.descriptors_short += own.descriptors_short;
-        counters.panics += own.panics;
+    pub fn counters(&self) -> Counters {
+        Counters { sessions_open: self.sessions.len() as u64, ..self.counters.clone() }
     }
 }
