--- a/crates/router/src/protocol/engine.rs
+++ b/crates/router/src/protocol/engine.rs
@@ -222,6 +222,17 @@
         assert!(out.starts_with(fields));
     }
 
+    #[test]
+    fn the_other_commands_are_a_line_each() {
+        let mut out = Vec::new();
+        page(&mut out, "a1", 2);
+        close(&mut out, "a1");
+        lane(&mut out, "a1", 3);
+        give_up(&mut out, "a1");
+        ping(&mut out, "t");
+        assert_eq!(out, b"PAGE a1 2\r\nCLOSE a1\r\nRANK a1 3\r\nDROP a1\r\nPING t\r\n");
+    }
+
     #[test]
     fn answers_are_read_wherever_they_are_split_and_however_they_are_joined() {
         let joined = b"a1 DONE work=1.5,peak=20,parts=2 6\r\nx\ty\tz\n\r\na2 WAIT - 0\r\n\r\n";
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -231,11 +231,16 @@
 impl Pen<'_> {
     /// Nothing more is done for a job that has its answer.
     fn end(&mut self, id: usize, answer: Answer) {
-        for push in self.desk.pushes_out(id) {
+        self.desk.pushes_out(id).into_iter().for_each(|push| self.give_up(push));
+        self.desk.answer(id, answer, self.peers);
+    }
+
+    /// Its end is news of the next turn.
+    fn give_up(&mut self, push: PushId) {
+        if self.desk.later.iter().all(|(given_up, _)| *given_up != push) {
             let ending = self.desk.give_up(push, Ending::CalledOff, self.peers);
             self.desk.later.push((push, ending));
         }
-        self.desk.answer(id, answer, self.peers);
     }
 }
 
@@ -284,8 +289,7 @@
     fn call_off(&mut self, job: usize, number: u32) {
         let push = PushId { job, number };
         if self.desk.call_off && self.desk.pushes_out(job).contains(&push) {
-            let ending = self.desk.give_up(push, Ending::CalledOff, self.peers);
-            self.desk.later.push((push, ending));
+            self.give_up(push);
         }
     }
 
--- a/crates/router/src/routing/tests.rs
+++ b/crates/router/src/routing/tests.rs
@@ -8,6 +8,7 @@
     pushes: Vec<(PushId, u64, String)>,
     answers: Vec<(SessionId, Answer)>,
     given_up: Vec<PushId>,
+    lanes: Vec<u8>,
     /// What giving up reports.
     how_far: Option<Failure>,
 }
@@ -19,7 +20,9 @@
     fn push(&mut self, push: PushId, engine: u64, _address: SocketAddr, ask: &Ask) {
         self.pushes.push((push, engine, ask.category.to_string()));
     }
-    fn change_lane(&mut self, _push: PushId, _lane: u8) {}
+    fn change_lane(&mut self, _push: PushId, lane: u8) {
+        self.lanes.push(lane);
+    }
     fn give_up(&mut self, push: PushId) -> Failure {
         self.given_up.push(push);
         self.how_far.unwrap_or(Failure::Sent)
@@ -271,3 +274,33 @@
     assert_eq!(host.routing.counters().module_panics, 1);
     host.adds_up();
 }
+
+#[test]
+fn terms_and_calling_off_reach_what_is_out() {
+    let mut host = Host::new();
+    host.ask(4, request("look"));
+    let mut pen = Pen { desk: &mut host.routing.desk, peers: &mut host.peers };
+    let lane = pen.desk.jobs[&0].lane;
+    pen.terms(0, lane, 64.0);
+    pen.terms(0, 3 - lane, 64.0);
+    pen.call_off(0, 0);
+    pen.call_off(0, 0);
+    assert_eq!((&host.peers.lanes[..], host.peers.given_up.len()), (&[3 - lane][..], 1));
+    host.turn(News::default());
+    assert_eq!(host.routing.counters().pushes_called_off, 1);
+    host.adds_up();
+}
+
+#[test]
+fn what_is_not_legal_is_not_done() {
+    let mut host = Host::new();
+    host.ask(4, request("look"));
+    let mut pen = Pen { desk: &mut host.routing.desk, peers: &mut host.peers };
+    // One push is out, and copies are not allowed.
+    pen.push(0, 1, None);
+    pen.push(9, 0, None);
+    pen.push(0, 9, None);
+    assert_eq!(host.peers.pushes.len(), 1);
+    host.end(done());
+    assert_eq!(host.peers.answers.len(), 1);
+}
--- a/crates/router/tests/standins/mod.rs
+++ b/crates/router/tests/standins/mod.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 /// Longer than anything here takes; what is awaited comes much sooner.
-const GENEROUS: Duration = Duration::from_secs(20);
+pub const GENEROUS: Duration = Duration::from_secs(20);
 
 /// A list that grows, and that a test can wait on.
 #[derive(Clone, Default)]
@@ -231,6 +231,8 @@
 pub struct Router {
     pub address: SocketAddr,
     pub log: Seen,
+    /// While this is held, nobody reads the log.
+    pub reading: Arc<Mutex<()>>,
     child: Child,
 }
 
@@ -275,10 +277,17 @@
             .unwrap();
         let log = Seen::default();
         let (lines, seen) = (BufReader::new(child.stderr.take().unwrap()).lines(), log.clone());
-        std::thread::spawn(move || lines.map_while(Result::ok).for_each(|line| seen.add(&line)));
+        let reading = Arc::new(Mutex::new(()));
+        let held = reading.clone();
+        std::thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                let _reads = held.lock();
+                seen.add(&line);
+            }
+        });
         log.wait("listens on", 1);
         std::fs::remove_file(file).unwrap();
-        Router { address, log, child }
+        Router { address, log, reading, child }
     }
 
     pub fn signal(&self, name: &str) {
--- a/crates/router/tests/whole.rs
+++ b/crates/router/tests/whole.rs
@@ -6,6 +6,7 @@
 use std::io::{Read, Write};
 use std::net::Shutdown;
 use std::process::Command;
+use std::time::{Duration, Instant};
 
 /// A board that lists these engines, and a router on it.
 fn started(engines: &[&Engine]) -> (Board, Router) {
@@ -261,6 +262,28 @@
     assert!(counter(&counters, "sessions_closed_for_room") > 15 && counter(&counters, "turns") < 2000);
 }
 
+#[test]
+fn a_log_that_nobody_reads_holds_up_nothing() {
+    let engine = Engine::start("e");
+    let (_board, router) = started(&[&engine]);
+    let mut client = Client::new(&router);
+    let started_at = Instant::now();
+    let unread = router.reading.lock().unwrap();
+    // Each makes a line of thousands of bytes; a pipe holds few of them.
+    let loud = job("look", 50, "x").replace("ttl=50", &format!("ttl={}", "x".repeat(5000)));
+    for _ in 0..100 {
+        assert!(matches!(client.ask(&loud), Answered::Error(1064, _)));
+    }
+    assert_eq!(client.ask(&job("look", 5000, "x")), rows(1));
+    drop(unread);
+    // Told with the first line that gets through again.
+    while !router.log.all().iter().any(|line| line.contains("log lines lost")) {
+        assert!(started_at.elapsed() < GENEROUS, "not told");
+        client.ask(&loud);
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 #[test]
 fn a_planned_stop_serves_what_still_comes_and_answers_every_job() {
     let engine = Engine::start("e");
