--- a/crates/router/tests/standins/mod.rs
+++ b/crates/router/tests/standins/mod.rs
@@ -95,6 +95,7 @@
 
     fn serve(&self, stream: TcpStream, number: usize) {
         let mut out = stream.try_clone().unwrap();
+        out.set_nodelay(true).unwrap();
         let mut lines = BufReader::new(stream);
         let mut line = String::new();
         let mut mute = false;
@@ -109,7 +110,8 @@
             }
             let statement = String::from_utf8_lossy(&body).into_owned();
             self.seen.add(&format!("{} on {number}: {statement}", text.trim_end()));
-            let row = |page: usize| format!("{page}\tone\ttwo\n");
+            let one = if self.uid.contains("wide") { "x".repeat(5900) } else { "one".to_string() };
+            let row = |page: usize| format!("{page}\t{one}\ttwo\n");
             let done = |parts: usize| {
                 let row = row(0);
                 format!("{} DONE work=5,peak=7,parts={parts} {}\r\n{row}\r\n", words[1], row.len())
@@ -407,7 +409,11 @@
             }
             let (mut row, mut rest) = (VecDeque::new(), &body[..]);
             while let Some((&length, more)) = rest.split_first() {
-                let (value, more) = more.split_at(length.into());
+                let (length, more) = match length {
+                    0xfc => (usize::from(more[0]) | usize::from(more[1]) << 8, &more[2..]),
+                    short => (short.into(), more),
+                };
+                let (value, more) = more.split_at(length);
                 row.push_back(String::from_utf8_lossy(value).into_owned());
                 rest = more;
             }
--- a/crates/router/tests/whole.rs
+++ b/crates/router/tests/whole.rs
@@ -243,6 +243,22 @@
     assert!(counter(&counters, "descriptors_short") == 0 && counter(&counters, "sessions_open") <= 32);
 }
 
+#[test]
+fn answers_that_are_read_late_are_whole_all_the_same() {
+    let engine = Engine::start("wide");
+    let (_board, router) = started(&[&engine]);
+    let mut slow = Client::new(&router);
+    // Several times what the system buffers between the two; the queries wait in turn.
+    let text: Vec<Vec<u8>> = (0..300).map(|_| query(&job("look", 30000, "pages 8"))).collect();
+    slow.stream.write_all(&text.concat()).unwrap();
+    let mut other = Client::new(&router);
+    assert!(matches!(other.ask(&job("look", 5000, "x")), Answered::Rows(_)));
+    let row = |page: usize| format!("{page},{},two", "x".repeat(5900));
+    for _ in 0..300 {
+        assert!(slow.answer() == Answered::Rows((0..8).map(row).collect()));
+    }
+}
+
 #[test]
 fn running_out_of_descriptors_costs_idle_sessions_only() {
     let engine = Engine::start("e");
