--- a/crates/router/src/protocol/mysql.rs
+++ b/crates/router/src/protocol/mysql.rs
@@ -134,7 +134,7 @@
     Ping,
     Statistics,
     Kill(u32),
-    /// Answered with OK, as there is no state to change: a schema chosen, a session reset.
+    /// Answered with OK, as there is no state to change: a schema or a user chosen, a session reset.
     Harmless,
     SetOption,
     Unknown(u8),
@@ -153,7 +153,7 @@
             Ok(id) => Command::Kill(u32::from_le_bytes(id)),
             Err(_) => return bad(MALFORMED, "a kill without a connection id"),
         },
-        0x02 | 0x1f => Command::Harmless,
+        0x02 | 0x11 | 0x1f => Command::Harmless,
         0x1b => Command::SetOption,
         other => Command::Unknown(other),
     })
--- a/crates/router/tests/standins/mod.rs
+++ b/crates/router/tests/standins/mod.rs
@@ -1,5 +1,6 @@
 //! Small stand-ins on loopback for what the router talks to: engines, the notice board, clients.
 
+use rustix::process::{kill_process, Pid, Signal};
 use socket2::{Domain, Socket, Type};
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -292,9 +293,8 @@
         Router { address, log, reading, child }
     }
 
-    pub fn signal(&self, name: &str) {
-        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
-        assert!(sent.success());
+    pub fn terminate(&self) {
+        kill_process(Pid::from_raw(self.child.id() as i32).unwrap(), Signal::TERM).unwrap();
     }
 
     /// Waits for its end; its exit code and its last counters.
--- a/crates/router/tests/whole.rs
+++ b/crates/router/tests/whole.rs
@@ -308,7 +308,7 @@
     long.send(&job("load", 20000, "hold"));
     engine.seen.wait("GET", 1);
     let mut open = Client::new(&router);
-    router.signal("-TERM");
+    router.terminate();
     router.log.wait("stopping", 1);
     assert_eq!(Client::new(&router).ask(&job("look", 5000, "pages 2")), rows(2));
     assert_eq!(open.ask(&job("look", 5000, "x")), rows(1));
