--- a/crates/router/src/transport/sessions.rs
+++ b/crates/router/src/transport/sessions.rs
@@ -7,6 +7,7 @@
 use calloop::{Readiness, RegistrationToken};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::HashMap;
+use std::hash::{BuildHasher, RandomState};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -68,7 +69,8 @@
             sessions: HashMap::new(),
             most,
             longest: (memory / 4 / most).clamp(LEAST, LONGEST),
-            next: 1,
+            // A kill meant for a session of the router before us must not meet one of ours.
+            next: RandomState::new().hash_one(listen) as SessionId,
             accepts: false,
             paused: false,
             again: Vec::new(),
