--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -8,7 +8,7 @@
 
 use bpaf::{construct, long, positional, pure, OptionParser, Parser};
 use routing::{News, Routing};
-use rustix::process::{getrlimit, Resource};
+use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -47,11 +47,22 @@
     config::read(&text).map_err(|complaint| format!("{}: {}", path.display(), complaint.0))
 }
 
+/// As many as the configuration states, or else as the system can be brought to allow.
+fn descriptors(stated: u64) -> u64 {
+    let limit = getrlimit(Resource::Nofile);
+    let wanted = stated.min(limit.maximum.unwrap_or(u64::MAX));
+    match limit.current {
+        Some(current) if current < wanted => {
+            let raised = Rlimit { current: Some(wanted), ..limit };
+            setrlimit(Resource::Nofile, raised).map_or(current, |()| wanted)
+        }
+        _ => wanted,
+    }
+}
+
 fn serve(config: Option<PathBuf>) -> Result<(), String> {
     let mut told = told(config)?;
-    // The system may allow fewer descriptors than the configuration does.
-    let allowed = getrlimit(Resource::Nofile).current.unwrap_or(u64::MAX);
-    told.place.descriptors = told.place.descriptors.min(allowed.try_into().unwrap_or(usize::MAX));
+    told.place.descriptors = descriptors(told.place.descriptors as u64) as usize;
     log::info!("{} starts, version {}", told.name, env!("CARGO_PKG_VERSION"));
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     let now = now.map_or(0.0, |since| since.as_secs_f64());
