What is asked while the router has no turn counts from its last turn

The loop now turns every 20 ms at least, so a gap shows, and a request read after one counts from the turn before it. Ruled out: the module (its cut-off was kept to the millisecond).

--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -330,6 +330,8 @@
     pub lists: Vec<Event>,
     pub ends: Vec<(PushId, Outcome)>,
     pub asked: Vec<(SessionId, Request)>,
+    /// When it can have been asked at the earliest, if that was well before now.
+    pub since: Option<f64>,
     pub withdrawn: Vec<SessionId>,
 }
 
@@ -421,7 +423,7 @@
             self.push_over(push, ending, None, peers);
         }
         for (session, request) in news.asked {
-            if let Err(why) = self.take(session, request) {
+            if let Err(why) = self.take(session, request, news.since) {
                 self.untaken.pop_front();
                 unusable.push((session, why));
             }
@@ -473,7 +475,7 @@
         listing
     }
 
-    fn take(&mut self, session: SessionId, request: Request) -> Result<(), String> {
+    fn take(&mut self, session: SessionId, request: Request, since: Option<f64>) -> Result<(), String> {
         let name = flat(&request.category);
         let Some(category) = self.names.categories.iter().position(|known| *known == name) else {
             return Err(format!(
@@ -486,7 +488,8 @@
             return Err(format!("field dedupe: expected a mark against repeats, as {name} needs one"));
         }
         let now = self.desk.now;
-        let cut_off = (now + request.patience).min(self.stops_at);
+        let gives_up = since.unwrap_or(now) + request.patience;
+        let cut_off = gives_up.min(self.stops_at);
         let id = self.next_job;
         self.next_job += 1;
         let taken = Taken {
@@ -495,7 +498,7 @@
             table_group: request.table_group.map_or(0, |group| (group as f64).to_bits()),
             cost: request.work,
             memory_mb: request.memory_mb,
-            cut_off: now + request.patience,
+            cut_off: gives_up,
         };
         let state = JobState::Open { session };
         let job = Job { request, state, cut_off, lane: 1, grant_mb: 0.0, pushes: Vec::new() };
--- a/crates/router/src/routing/tests.rs
+++ b/crates/router/src/routing/tests.rs
@@ -203,6 +203,16 @@
     host.adds_up();
 }
 
+#[test]
+fn a_job_that_came_while_we_had_no_turn_is_answered_at_its_clients_time() {
+    let mut host = Host::new();
+    host.now = 110.0;
+    host.turn(News { asked: vec![(4, request("look"))], since: Some(108.5), ..News::default() });
+    host.now = 110.5;
+    host.turn(News::default());
+    assert!(matches!(host.peers.answers[..], [(4, Answer::TurnedBack { .. })]));
+}
+
 #[test]
 fn a_push_given_up_before_it_left_is_told_as_one_that_never_ran() {
     let mut host = Host::new();
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -25,6 +25,8 @@
 
 /// Sessions and links are looked over so often for what has stalled.
 const SWEEP: f64 = 0.25;
+/// The loop turns at least so often, so that it can tell when it had no turn.
+const BEAT: f64 = 0.02;
 /// After a planned stop, requests come for this long, and the router is killed so long after its longest job.
 const STILL_COMING: f64 = 0.75;
 const KILLED_AFTER: f64 = 0.7;
@@ -207,7 +209,7 @@
             let counters = server.counters();
             return Ok(counters);
         }
-        let wait = (server.wake - server.clock.read()).clamp(0.0, 1.0);
+        let wait = (server.wake - server.clock.read()).max(0.0);
         match event_loop.dispatch(Some(Duration::from_secs_f64(wait)), &mut ready) {
             Err(calloop::Error::IoError(error)) if error.kind() != io::ErrorKind::Interrupted => {
                 return Err(error)
@@ -221,6 +223,9 @@
 impl Server {
     fn turn(&mut self, ready: &mut Ready) {
         let now = self.clock.read();
+        // What has come in while we had no turn came after the last one, and its time runs from then.
+        let gap = now - self.net.now > 1.5 * BEAT;
+        self.news.since = gap.then_some(self.net.now);
         self.net.now = now;
         let overslept = ((now - self.wake).max(0.0) * 1e6) as u64;
         let mut sources = std::mem::take(&mut ready.sources);
@@ -272,7 +277,7 @@
         let stop = self.stopping.map_or(f64::INFINITY, |(at, last)| if now < at { at } else { last });
         let due = [wake, self.sweep_at, self.board.due(), self.net.links.due(), stop];
         let at_once = !self.again.is_empty() || self.net.links.has_ended();
-        self.wake = if at_once { now } else { due.into_iter().fold(f64::INFINITY, f64::min) };
+        self.wake = if at_once { now } else { due.into_iter().fold(now + BEAT, f64::min) };
     }
 
     fn counters(&mut self) -> Counters {
--- a/crates/router/tests/standins/mod.rs
+++ b/crates/router/tests/standins/mod.rs
@@ -293,6 +293,15 @@
         Router { address, log, reading, child }
     }
 
+    /// Stops the process, does this, and lets it go on after a while.
+    pub fn stop_for(&self, time: Duration, meanwhile: impl FnOnce()) {
+        let process = Pid::from_raw(self.child.id() as i32).unwrap();
+        kill_process(process, Signal::STOP).unwrap();
+        meanwhile();
+        std::thread::sleep(time);
+        kill_process(process, Signal::CONT).unwrap();
+    }
+
     pub fn terminate(&self) {
         kill_process(Pid::from_raw(self.child.id() as i32).unwrap(), Signal::TERM).unwrap();
     }
--- a/crates/router/tests/whole.rs
+++ b/crates/router/tests/whole.rs
@@ -243,6 +243,17 @@
     assert!(counter(&counters, "descriptors_short") == 0 && counter(&counters, "sessions_open") <= 32);
 }
 
+#[test]
+fn what_is_asked_while_the_router_stands_still_is_answered_in_its_clients_time() {
+    let engine = Engine::start("e");
+    let (_board, router) = started(&[&engine]);
+    let mut client = Client::new(&router);
+    router.stop_for(Duration::from_millis(1500), || client.send(&job("look", 2000, "hold")));
+    let asked = Instant::now() - Duration::from_millis(1500);
+    assert!(matches!(client.answer(), Answered::Error(1040, _)));
+    assert!(asked.elapsed() < Duration::from_millis(3000), "{:?}", asked.elapsed());
+}
+
 #[test]
 fn answers_that_are_read_late_are_whole_all_the_same() {
     let engine = Engine::start("wide");
