--- a/crates/router/src/protocol/mysql.rs
+++ b/crates/router/src/protocol/mysql.rs
@@ -26,15 +26,15 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Code(pub u16, pub &'static str);
 
-pub const TOO_MANY: Code = Code(1040, "08004");
+const TOO_MANY: Code = Code(1040, "08004");
 pub const DENIED: Code = Code(1045, "28000");
 pub const NOT_COMMAND: Code = Code(1047, "08S01");
 pub const NO_SUCH_SESSION: Code = Code(1094, "HY000");
-pub const FAILED: Code = Code(1105, "HY000");
+const FAILED: Code = Code(1105, "HY000");
 pub const TOO_LONG: Code = Code(1153, "08S01");
 pub const OUT_OF_ORDER: Code = Code(1156, "08S01");
 pub const NOT_UNDERSTOOD: Code = Code(1064, "42000");
-pub const INTERRUPTED: Code = Code(1317, "70100");
+const INTERRUPTED: Code = Code(1317, "70100");
 pub const MALFORMED: Code = Code(1835, "HY000");
 
 /// Why bytes make no packet that is served.
@@ -224,6 +224,21 @@
     });
 }
 
+/// The refusal after which trying again is harmless, in so many seconds.
+pub fn turned_back(out: &mut Vec<u8>, sequence: &mut u8, come_back_in: Option<f64>) {
+    let advice = come_back_in.map(|wait| format!(" pushback={}", (wait * 1e3).ceil() as u64));
+    let words = format!("turned back, trying again is harmless{}", advice.unwrap_or_default());
+    error(out, sequence, TOO_MANY, &words);
+}
+
+pub fn terminated(out: &mut Vec<u8>, sequence: &mut u8) {
+    error(out, sequence, FAILED, "terminated: the job was not completed");
+}
+
+pub fn killed(out: &mut Vec<u8>, sequence: &mut u8) {
+    error(out, sequence, INTERRUPTED, "the query was killed");
+}
+
 /// A result set of text columns.
 pub fn result<'a, R, C>(out: &mut Vec<u8>, sequence: &mut u8, columns: &[String], rows: R)
 where
--- a/crates/router/src/protocol/statement.rs
+++ b/crates/router/src/protocol/statement.rs
@@ -119,6 +119,15 @@
     })
 }
 
+/// Why a job that was well asked for cannot be taken.
+pub fn unknown_category(got: &str, known: &[String]) -> String {
+    format!("field op: expected one of {}, got \"{got}\"", known.join(" "))
+}
+
+pub fn no_receipt(category: &str) -> String {
+    format!("field dedupe: expected a mark against repeats, as {category} needs one")
+}
+
 /// A piece of a statement; comments and blanks are none.
 #[derive(Debug, PartialEq)]
 enum Token<'a> {
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -5,7 +5,7 @@
 
 use crate::protocol::board::{Entry, Event};
 use crate::protocol::engine::Ask;
-use crate::protocol::statement::Request;
+use crate::protocol::statement::{self, Request};
 use cleatgw::logic::Gateway;
 use cleatgw::{Deployment, Effect, Ending, Listing, Load, PushEnd, Stage, Taken, Writer};
 use cleatgw_start::{flat, index_of, name_hash, Names};
@@ -478,14 +478,11 @@
     fn take(&mut self, session: SessionId, request: Request, since: Option<f64>) -> Result<(), String> {
         let name = flat(&request.category);
         let Some(category) = self.names.categories.iter().position(|known| *known == name) else {
-            return Err(format!(
-                "field op: expected one of {}, got \"{name}\"",
-                self.names.categories.join(" ")
-            ));
+            return Err(statement::unknown_category(&name, &self.names.categories));
         };
         let receipted = matches!(self.deployment.categories[category].effect, Effect::Receipted { .. });
         if receipted && request.receipt.is_none() {
-            return Err(format!("field dedupe: expected a mark against repeats, as {name} needs one"));
+            return Err(statement::no_receipt(&name));
         }
         let now = self.desk.now;
         let gives_up = since.unwrap_or(now) + request.patience;
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -173,7 +173,7 @@
                 }
             };
             let (sequence, body) = (packet.sequence, packet.body.to_vec());
-            if !serving && body.first() == Some(&0x0e) && self.state == State::Idle {
+            if !serving && self.state == State::Idle && mysql::command(&body) == Ok(Command::Ping) {
                 self.cut_short = false;
                 return Ok(None);
             }
@@ -322,16 +322,14 @@
             Answer::Delivered(pages) => {
                 let names: Vec<String> = (1..=COLUMNS).map(|at| format!("column_{at}")).collect();
                 mysql::result(&mut self.scratch, &mut self.sequence, &names, rows(&pages).map(columns));
-                self.idle();
             }
             Answer::TurnedBack { come_back_in } => {
-                let advice = come_back_in.map(|wait| format!(" pushback={}", (wait * 1e3).ceil() as u64));
-                let words = format!("turned back, trying again is harmless{}", advice.unwrap_or_default());
-                self.error(mysql::TOO_MANY, &words);
+                mysql::turned_back(&mut self.scratch, &mut self.sequence, come_back_in)
             }
-            Answer::Terminated => self.error(mysql::FAILED, "terminated: the job was not completed"),
-            Answer::Withdrawn => self.error(mysql::INTERRUPTED, "the query was killed"),
+            Answer::Terminated => mysql::terminated(&mut self.scratch, &mut self.sequence),
+            Answer::Withdrawn => mysql::killed(&mut self.scratch, &mut self.sequence),
         }
+        self.idle();
     }
 
     fn send(&mut self) {
--- a/crates/router/src/transport/engine.rs
+++ b/crates/router/src/transport/engine.rs
@@ -4,7 +4,7 @@
 use crate::protocol::engine::{self, Malformed, Pages, Word};
 use crate::routing::{Failure, Outcome, PushId, Reply};
 use calloop::RegistrationToken;
-use cleatgw_start::Links;
+use cleatgw_start::LinkLimits;
 use std::collections::{HashMap, HashSet};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -127,7 +127,7 @@
     }
 
     /// It can take a push under this id: answers to an earlier one under it cannot be mistaken for its own.
-    pub fn takes(&self, id: &str, stated: &Links, now: f64) -> bool {
+    pub fn takes(&self, id: &str, stated: &LinkLimits, now: f64) -> bool {
         let stale = self.carries() == 0 && now > self.idle_since + stated.idle_after * IDLE_CAUTION;
         let known = self.given_up.contains(id)
             || self.exchanges.contains_key(id)
@@ -139,7 +139,7 @@
     }
 
     /// No sign came in time: its machine may have vanished.
-    pub fn mute(&self, stated: &Links, now: f64) -> bool {
+    pub fn mute(&self, stated: &LinkLimits, now: f64) -> bool {
         self.asked_at.is_some_and(|asked| now > asked + stated.connect_time_out)
     }
 
--- a/crates/router/src/transport/links.rs
+++ b/crates/router/src/transport/links.rs
@@ -5,6 +5,7 @@
 use crate::protocol::engine::Ask;
 use crate::routing::{Counters, Failure, Outcome, PushId};
 use calloop::Readiness;
+use cleatgw_start::LinkLimits;
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -14,7 +15,7 @@
     links: HashMap<u64, Link>,
     next: u64,
     most: usize,
-    stated: cleatgw_start::Links,
+    stated: LinkLimits,
     /// Pushes that ended: news of the next turn.
     ends: Vec<(PushId, Outcome)>,
     link_of: HashMap<PushId, u64>,
@@ -22,7 +23,7 @@
 }
 
 impl Links {
-    pub fn new(handle: &Handle, stated: cleatgw_start::Links, most: usize) -> Links {
+    pub fn new(handle: &Handle, stated: LinkLimits, most: usize) -> Links {
         Links {
             handle: handle.clone(),
             links: HashMap::new(),
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -13,6 +13,7 @@
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
+use cleatgw_start::LinkLimits;
 use links::Links;
 use sessions::Sessions;
 use socket2::{Domain, Protocol, Socket, Type};
@@ -98,7 +99,9 @@
     pub last_event: u64,
     pub descriptors: usize,
     pub memory: usize,
-    pub links: cleatgw_start::Links,
+    pub links: LinkLimits,
+    /// How long a client waits for a job at most.
+    pub longest_job: Option<f64>,
 }
 
 /// The connections that routing's words are carried out on.
@@ -185,7 +188,7 @@
     noted.map_err(|error| io::Error::other(error.error))?;
     let mut clock = Clock::default();
     let now = clock.read();
-    let longest_job = place.links.longest_job.unwrap_or(LONGEST_GIVEN);
+    let longest_job = place.longest_job.unwrap_or(LONGEST_GIVEN);
     let sessions = Sessions::open(&handle, place.listen, place.descriptors, place.memory)?;
     let links = Links::new(&handle, place.links, place.descriptors / 4);
     let mut server = Server {
--- a/crates/start/src/lib.rs
+++ b/crates/start/src/lib.rs
@@ -20,12 +20,10 @@
 
 /// What is stated of connections to engines; times in seconds.
 #[derive(Clone, Copy, Debug)]
-pub struct Links {
+pub struct LinkLimits {
     pub connect_time_out: f64,
     pub idle_after: f64,
     pub pushes_each: usize,
-    /// How long a client waits for a job at most.
-    pub longest_job: Option<f64>,
 }
 
 /// What is stated, by the wire's paths.
@@ -115,11 +113,15 @@
             .collect()
     }
 
-    pub fn links(&self) -> Result<Links, Complaint> {
+    /// How long a client waits for a job at most.
+    pub fn longest_job(&self) -> Result<Option<f64>, Complaint> {
         let longest = |at| self.time(&format!("categories.{at}.hard-limit-us"), 0.0);
         let limits: Vec<f64> = (0..self.count("categories")?).map(longest).collect::<Result<_, _>>()?;
-        Ok(Links {
-            longest_job: limits.into_iter().reduce(f64::max).filter(|&longest| longest > 0.0),
+        Ok(limits.into_iter().reduce(f64::max).filter(|&longest| longest > 0.0))
+    }
+
+    pub fn link_limits(&self) -> Result<LinkLimits, Complaint> {
+        Ok(LinkLimits {
             connect_time_out: self.time("limits.connect-timeout-us", 0.25)?,
             idle_after: self.time("limits.conn-idle-us", 15.0)?,
             pushes_each: self.number("limits.multiplex", 1.0)?.max(1.0) as usize,
@@ -274,10 +276,11 @@
             let (deployment, names) = read(&pairs).unwrap();
             assert_eq!(names.categories, ["look_up", "load"]);
             assert_eq!(names.zones, ["room_a", "room_b"]);
-            format!("{deployment:?} {:?}", pairs.links().unwrap())
+            assert_eq!(pairs.longest_job().unwrap(), Some(20.0));
+            format!("{deployment:?} {:?}", pairs.link_limits().unwrap())
         });
         assert_eq!(both[0], both[1]);
-        assert!(both[0].contains("only_zones: Some([0])") && both[0].contains("longest_job: Some(20.0)"));
+        assert!(both[0].contains("only_zones: Some([0])") && both[0].contains("idle_after: 30.0"));
     }
 
     #[test]
