--- a/crates/router/src/transport/sessions.rs
+++ b/crates/router/src/transport/sessions.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 const BACKLOG: i32 = 1024;
-const BIND: Duration = Duration::from_secs(2);
+const BIND: Duration = Duration::from_secs(5);
 /// So many connections are accepted in one turn.
 const ACCEPTED: usize = 64;
 /// A statement may be as long as memory allows, between these.
