One look at a begun connection, one compaction, no scratch state

Read through once more; behaviour stays. `came_up` serves engine links and the board's (each had its own copy, with a writable flag that the peer's address already tells); `Buffer::compact` serves both sides of the buffer; a session's scratch buffer was empty between calls and is local to `send` now; a link writes through `say` and finds a push by `id_of`; fields are taken apart by `protocol::pairs` in both codecs; the desk reads the deployment and keeps no copies of three of its values; the Unix time is read in one place; errno by `Errno::from_io_error`. The one visible difference: at debug level a link that did not come up in time says "no connection came up", as the board's did.

--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -64,9 +64,7 @@
     let mut told = told(config)?;
     told.place.descriptors = descriptors(told.place.descriptors as u64) as usize;
     log::info!("{} starts, version {}", told.name, env!("CARGO_PKG_VERSION"));
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    let now = now.map_or(0.0, |since| since.as_secs_f64());
-    let routing = Routing::new(told.deployment, told.names, told.seed, now);
+    let routing = Routing::new(told.deployment, told.names, told.seed, transport::unix_time());
     let news = News { lists: told.known, ..News::default() };
     let listen = told.place.listen;
     let counters =
--- a/crates/router/src/protocol/engine.rs
+++ b/crates/router/src/protocol/engine.rs
@@ -1,5 +1,6 @@
 //! The engines' lines: what a gateway asks, and what an engine answers.
 
+use super::pairs;
 use std::io::Write as _;
 use std::ops::Range;
 
@@ -119,10 +120,7 @@
     if close != b"\r\n" {
         return Err(Malformed("a body that is longer than its length"));
     }
-    let field = |name: &str| {
-        let pairs = fields.split(',').filter_map(|pair| pair.split_once('='));
-        pairs.clone().find(|(key, _)| *key == name).map(|(_, value)| value)
-    };
+    let field = |name: &str| pairs(fields).find(|(key, _)| *key == name).map(|(_, value)| value);
     let amount = |name| field(name)?.parse::<f64>().ok().filter(|value| value.is_finite() && *value >= 0.0);
     let count = |name| match field(name) {
         None => Ok(None),
--- a/crates/router/src/protocol/statement.rs
+++ b/crates/router/src/protocol/statement.rs
@@ -1,5 +1,6 @@
 //! Statements: the fields comment ahead of a job, its table group, and what drivers send beside jobs.
 
+use super::pairs;
 use std::collections::HashSet;
 
 /// What a statement asks for.
@@ -63,11 +64,12 @@
         }
         "SET" | "USE" | "BEGIN" | "START" | "COMMIT" | "ROLLBACK" => Ok(Asked::Harmless),
         "SHOW" => Ok(Asked::Nothing),
-        "SELECT" => values(&tokens[1..]).map(Asked::Values).ok_or_else(|| {
-            "no fields comment ahead of the statement: a job needs op, call and ttl there".to_string()
-        }),
         "" => Err("the statement is empty".to_string()),
-        _ => Err("no fields comment ahead of the statement: a job needs op, call and ttl there".to_string()),
+        first => {
+            let values = if first == "SELECT" { values(&tokens[1..]) } else { None };
+            let no_job = "no fields comment ahead of the statement: a job needs op, call and ttl there";
+            values.map(Asked::Values).ok_or(no_job.to_string())
+        }
     }
 }
 
@@ -79,21 +81,12 @@
     // The blank that parts them belongs to the comment.
     let rest = &inside[end + 2..];
     let known = ["op", "call", "ttl"];
-    let names = fields.split(',').filter_map(|field| field.split_once('='));
-    names
-        .clone()
-        .any(|(name, _)| known.contains(&name.trim()))
-        .then_some((fields, rest.strip_prefix(b" ").unwrap_or(rest)))
+    let any = pairs(fields).any(|(name, _)| known.contains(&name.trim()));
+    any.then_some((fields, rest.strip_prefix(b" ").unwrap_or(rest)))
 }
 
 fn request(fields: &str, statement: &[u8]) -> Result<Request, String> {
-    let field = |name: &str| {
-        let pairs = fields.split(',').filter_map(|pair| pair.split_once('='));
-        pairs
-            .map(|(key, value)| (key.trim(), value.trim()))
-            .find(|(key, _)| *key == name)
-            .map(|(_, value)| value)
-    };
+    let field = |name: &str| pairs(fields).find(|(key, _)| key.trim() == name).map(|(_, value)| value.trim());
     let number = |name: &str, most: f64| {
         field(name)?.parse::<f64>().ok().filter(|value| (0.0..=most).contains(value) && *value > 0.0)
     };
@@ -239,15 +232,14 @@
     // In each open parenthesis: whether it holds a query, and whether tables are listed there just now.
     let mut open = vec![(true, false)];
     let (mut tables, mut names, mut aliases) = (Vec::new(), Vec::new(), HashSet::new());
-    let mut at = 0;
-    while at < tokens.len() {
+    for (at, token) in tokens.iter().enumerate() {
         let depth = open.len() - 1;
         let (in_query, lists) = open[depth];
-        match &tokens[at] {
+        match token {
             Token::Sign(b'(') => {
                 let query =
                     ["SELECT", "WITH"].iter().any(|word| tokens.get(at + 1).is_some_and(|t| t.is(word)));
-                let table = lists && at > 0 && place_of_table(&tokens[at - 1], lists);
+                let table = at > 0 && place_of_table(&tokens[at - 1], lists);
                 open.push((query || table, table && !query));
                 if table && !query && qualified(at + 1).is_some() {
                     tables.push(at + 1);
@@ -278,7 +270,6 @@
             }
         }
         names.extend(qualified(at).map(|_| at));
-        at += 1;
     }
     let named = |at: &usize| qualified(*at).filter(|schema| !schema.eq_ignore_ascii_case("staging"));
     let placed = tables.iter().filter_map(named).find_map(group_of);
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -102,6 +102,12 @@
     pushes: Vec<PushState>,
 }
 
+impl Job {
+    fn out(&self) -> bool {
+        self.pushes.iter().any(|push| matches!(push, PushState::Out { .. }))
+    }
+}
+
 /// All that the decisions' words are carried out on.
 #[derive(Default)]
 struct Desk {
@@ -114,15 +120,12 @@
     /// Ends brought about by decisions: news of the next turn.
     later: Vec<(PushId, Ending)>,
     wake: f64,
-    call_off: bool,
-    most_pushes: u32,
-    copies: bool,
+    deployment: Deployment,
     counters: Counters,
 }
 
 pub struct Routing {
     gateway: Gateway,
-    deployment: Deployment,
     names: Names,
     seed: u64,
     desk: Desk,
@@ -215,8 +218,7 @@
     }
 
     fn forget_if_done(&mut self, id: usize) {
-        let over = self.jobs.get(&id).is_some_and(|job| matches!(job.state, JobState::Over));
-        if over && self.pushes_out(id).is_empty() {
+        if self.jobs.get(&id).is_some_and(|job| matches!(job.state, JobState::Over) && !job.out()) {
             self.jobs.remove(&id);
         }
     }
@@ -260,8 +262,8 @@
             return log::error!("a push of an unknown job or to an unknown engine: {id} to {at}");
         };
         let open = matches!(job.state, JobState::Open { .. }) && job.cut_off > desk.now;
-        let another = (desk.copies || desk.pushes_out(id).is_empty())
-            && (job.pushes.len() as u32) < desk.most_pushes.max(1);
+        let another = (desk.deployment.copies || !job.out())
+            && (job.pushes.len() as u32) < desk.deployment.most_pushes.max(1);
         let push = PushId { job: id, number: job.pushes.len() as u32 };
         let until = time_out.map_or(job.cut_off, |wait| job.cut_off.min(desk.now + wait));
         let legal = open && another && engine.listing.stage == Stage::Ready;
@@ -288,7 +290,7 @@
 
     fn call_off(&mut self, job: usize, number: u32) {
         let push = PushId { job, number };
-        if self.desk.call_off && self.desk.pushes_out(job).contains(&push) {
+        if self.desk.deployment.call_off && self.desk.pushes_out(job).contains(&push) {
             self.give_up(push);
         }
     }
@@ -337,18 +339,10 @@
 
 impl Routing {
     pub fn new(deployment: Deployment, names: Names, seed: u64, now: f64) -> Routing {
-        let desk = Desk {
-            now,
-            wake: now,
-            call_off: deployment.call_off,
-            most_pushes: deployment.most_pushes,
-            copies: deployment.copies,
-            ..Desk::default()
-        };
         let gateway = Gateway::new(deployment.clone(), seed, now);
+        let desk = Desk { now, wake: now, deployment, ..Desk::default() };
         Routing {
             gateway,
-            deployment,
             names,
             seed,
             desk,
@@ -383,14 +377,19 @@
 
     /// One turn: all news in, one round, and what was decided carried out. Returns what is wrong with jobs that
     /// could not be taken, and when the next turn is due.
-    pub fn turn(&mut self, now: f64, news: News, peers: &mut dyn Peers) -> (Vec<(SessionId, String)>, f64) {
+    pub fn turn(
+        &mut self,
+        now: f64,
+        mut news: News,
+        peers: &mut dyn Peers,
+    ) -> (Vec<(SessionId, String)>, f64) {
         self.desk.now = now;
         let mut unusable = Vec::new();
         // What the decisions may fail over is noted first, so that no list and no client is forgotten with them.
+        let events = std::mem::take(&mut news.lists);
         let lists: Vec<(Vec<Listing>, bool)> =
-            news.lists.into_iter().filter_map(|event| self.note(event)).collect();
+            events.into_iter().filter_map(|event| self.note(event)).collect();
         self.untaken = news.asked.iter().map(|(session, _)| *session).collect();
-        let news = News { lists: Vec::new(), ..news };
         let done = catch_unwind(AssertUnwindSafe(|| self.decide(lists, news, peers, &mut unusable)));
         if done.is_err() {
             self.begin_anew(peers);
@@ -480,7 +479,7 @@
         let Some(category) = self.names.categories.iter().position(|known| *known == name) else {
             return Err(statement::unknown_category(&name, &self.names.categories));
         };
-        let receipted = matches!(self.deployment.categories[category].effect, Effect::Receipted { .. });
+        let receipted = matches!(self.desk.deployment.categories[category].effect, Effect::Receipted { .. });
         if receipted && request.receipt.is_none() {
             return Err(statement::no_receipt(&name));
         }
@@ -560,7 +559,7 @@
         self.desk.later.clear();
         self.desk.due.clear();
         self.seed = self.seed.wrapping_add(1);
-        self.gateway = Gateway::new(self.deployment.clone(), self.seed, self.desk.now);
+        self.gateway = Gateway::new(self.desk.deployment.clone(), self.seed, self.desk.now);
         self.gateway.stop_at(self.stops_at);
         let listings: Vec<Listing> = self.desk.engines.iter().map(|engine| engine.listing).collect();
         self.gateway.engines_listed(self.desk.now, &listings, true);
--- a/crates/router/src/transport/board.rs
+++ b/crates/router/src/transport/board.rs
@@ -1,6 +1,7 @@
 //! The link to the notice board: connected again whenever it is lost or silent, from the last event held.
 
 use super::buffer::{Buffer, Reached};
+use super::came_up;
 use crate::protocol::board::{self, Event, Line};
 use crate::routing::Counters;
 use calloop::RegistrationToken;
@@ -66,9 +67,10 @@
     }
 
     pub fn connecting(&mut self, wire: Option<(RegistrationToken, Rc<TcpStream>)>, now: f64) {
-        let until = now + if wire.is_some() { CONNECT } else { RETRY };
-        self.state =
-            if wire.is_some() { State::Connecting { until } } else { State::Down { retry_at: until } };
+        self.state = match wire {
+            Some(_) => State::Connecting { until: now + CONNECT },
+            None => State::Down { retry_at: now + RETRY },
+        };
         (self.wire, self.buffer, self.readable) = (wire, Buffer::default(), false);
     }
 
@@ -87,24 +89,15 @@
     }
 
     /// Reads what is ready; events that are new go into `events`. An error is why the link is lost.
-    pub fn work(
-        &mut self,
-        readable: bool,
-        writable: bool,
-        now: f64,
-        events: &mut Vec<Event>,
-    ) -> Result<(), String> {
+    pub fn work(&mut self, readable: bool, now: f64, events: &mut Vec<Event>) -> Result<(), String> {
         let Some((_, stream)) = &self.wire else { return Ok(()) };
         let stream = stream.clone();
         self.readable |= readable;
         let words = |error: io::Error| error.to_string();
         match self.state {
             State::Connecting { until } => {
-                if let Some(error) = stream.take_error().map_err(words)? {
-                    return Err(words(error));
-                }
-                if !writable || stream.peer_addr().is_err() {
-                    return if now < until { Ok(()) } else { Err("no connection came up".to_string()) };
+                if !came_up(&stream, until, now).map_err(words)? {
+                    return Ok(());
                 }
                 let level = if self.away { log::Level::Debug } else { log::Level::Info };
                 log::log!(level, "notice board connected, from event {}", self.last);
--- a/crates/router/src/transport/buffer.rs
+++ b/crates/router/src/transport/buffer.rs
@@ -48,22 +48,23 @@
         }
     }
 
-    /// Makes room for so many bytes behind the input, ahead of the output.
-    fn make_room(&mut self, length: usize) {
+    /// Moves the input to the front and the output so far behind it, with room for more behind that.
+    fn compact(&mut self, gap: usize, tail: usize) {
         let (read, unsent) = (self.input.1 - self.input.0, self.unsent());
-        let free = if unsent > 0 { self.output.0 } else { self.bytes.len() } - self.input.1;
-        if free >= length {
-            return;
-        }
         self.bytes.copy_within(self.input.0..self.input.1, 0);
-        self.input = (0, read);
-        let needed = read + length + unsent;
+        let needed = read + gap + unsent + tail;
         if self.bytes.len() < needed {
             self.bytes.resize(needed.next_power_of_two(), 0);
         }
-        if unsent > 0 {
-            self.bytes.copy_within(self.output.0..self.output.1, read + length);
-            self.output = (read + length, needed);
+        self.bytes.copy_within(self.output.0..self.output.1, read + gap);
+        (self.input, self.output) = ((0, read), (read + gap, read + gap + unsent));
+    }
+
+    /// Makes room for so many bytes behind the input, ahead of the output.
+    fn make_room(&mut self, length: usize) {
+        let free = if self.unsent() > 0 { self.output.0 } else { self.bytes.len() } - self.input.1;
+        if free < length {
+            self.compact(length, 0);
         }
     }
 
@@ -96,14 +97,7 @@
         }
         if self.bytes.len() - self.output.1 < bytes.len() {
             // Room at the front is used before the buffer grows.
-            let (read, unsent) = (self.input.1 - self.input.0, self.unsent());
-            self.bytes.copy_within(self.input.0..self.input.1, 0);
-            self.bytes.copy_within(self.output.0..self.output.1, read);
-            (self.input, self.output) = ((0, read), (read, read + unsent));
-            let needed = read + unsent + bytes.len();
-            if self.bytes.len() < needed {
-                self.bytes.resize(needed.next_power_of_two(), 0);
-            }
+            self.compact(0, bytes.len());
         }
         self.bytes[self.output.1..self.output.1 + bytes.len()].copy_from_slice(bytes);
         self.output.1 += bytes.len();
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -45,7 +45,6 @@
     id: SessionId,
     stream: Rc<TcpStream>,
     buffer: Buffer,
-    scratch: Vec<u8>,
     state: State,
     sequence: u8,
     longest: usize,
@@ -82,7 +81,6 @@
             id,
             stream,
             buffer: Buffer::default(),
-            scratch: Vec::new(),
             state: State::Login,
             sequence: 0,
             longest,
@@ -93,8 +91,7 @@
             malformed: false,
             since: now,
         };
-        mysql::greeting(&mut session.scratch, id, random());
-        session.send();
+        session.send(|out, _| mysql::greeting(out, id, random()));
         session
     }
 
@@ -204,8 +201,11 @@
     fn refuse(&mut self, bad: mysql::Bad) {
         log::debug!("session {}: {}", self.id, bad.why);
         self.malformed = true;
-        mysql::error(&mut self.scratch, &mut self.sequence, bad.code, bad.why);
-        self.send();
+        self.error_and_close(bad.code, bad.why);
+    }
+
+    fn error_and_close(&mut self, code: mysql::Code, words: &str) {
+        self.send(|out, sequence| mysql::error(out, sequence, code, words));
         self.close_after();
     }
 
@@ -221,14 +221,10 @@
         let login = mysql::login(body)?;
         if login.with_password {
             let words = format!("access denied for {}: it has no password here", login.user);
-            mysql::error(&mut self.scratch, &mut self.sequence, mysql::DENIED, &words);
-            self.send();
-            self.close_after();
-            return Ok(());
+            self.error_and_close(mysql::DENIED, &words);
+        } else {
+            self.ok();
         }
-        mysql::ok(&mut self.scratch, &mut self.sequence);
-        self.state = State::Idle;
-        self.send();
         Ok(())
     }
 
@@ -237,10 +233,7 @@
             Command::Quit => self.state = State::Closed,
             Command::Query(text) => return Ok(self.query(text)),
             Command::Ping | Command::Harmless => self.ok(),
-            Command::SetOption => {
-                mysql::eof(&mut self.scratch, &mut self.sequence);
-                self.send();
-            }
+            Command::SetOption => self.send(mysql::eof),
             Command::Statistics => return Ok(self.wait(Heard::Counters)),
             Command::Kill(session) => return Ok(self.wait(Heard::Kill { session, query_only: false })),
             Command::Unknown(number) => {
@@ -279,29 +272,25 @@
     /// One row, or none where there are no values.
     fn rows(&mut self, names: &[String], values: &[String]) {
         let row = (!values.is_empty()).then(|| values.iter().map(String::as_bytes));
-        mysql::result(&mut self.scratch, &mut self.sequence, names, row.into_iter());
-        self.send();
+        self.send(|out, sequence| mysql::result(out, sequence, names, row.into_iter()));
     }
 
     /// Answers of the session's own, after which it is idle again.
     pub fn ok(&mut self) {
-        mysql::ok(&mut self.scratch, &mut self.sequence);
-        self.idle();
+        self.idle(mysql::ok);
     }
 
     pub fn error(&mut self, code: mysql::Code, words: &str) {
-        mysql::error(&mut self.scratch, &mut self.sequence, code, words);
-        self.idle();
+        self.idle(|out, sequence| mysql::error(out, sequence, code, words));
     }
 
     pub fn text(&mut self, words: &str) {
-        mysql::text(&mut self.scratch, &mut self.sequence, words);
-        self.idle();
+        self.idle(|out, sequence| mysql::text(out, sequence, words));
     }
 
-    fn idle(&mut self) {
+    fn idle(&mut self, write: impl FnOnce(&mut Vec<u8>, &mut u8)) {
         self.state = State::Idle;
-        self.send();
+        self.send(write);
         if self.closes_after {
             self.close_after();
         }
@@ -318,23 +307,22 @@
     /// The final answer to its request.
     pub fn answer(&mut self, answer: Answer, now: f64) {
         self.since = now;
-        match answer {
+        self.idle(|out, sequence| match answer {
             Answer::Delivered(pages) => {
                 let names: Vec<String> = (1..=COLUMNS).map(|at| format!("column_{at}")).collect();
-                mysql::result(&mut self.scratch, &mut self.sequence, &names, rows(&pages).map(columns));
-            }
-            Answer::TurnedBack { come_back_in } => {
-                mysql::turned_back(&mut self.scratch, &mut self.sequence, come_back_in)
+                mysql::result(out, sequence, &names, rows(&pages).map(columns));
             }
-            Answer::Terminated => mysql::terminated(&mut self.scratch, &mut self.sequence),
-            Answer::Withdrawn => mysql::killed(&mut self.scratch, &mut self.sequence),
-        }
-        self.idle();
+            Answer::TurnedBack { come_back_in } => mysql::turned_back(out, sequence, come_back_in),
+            Answer::Terminated => mysql::terminated(out, sequence),
+            Answer::Withdrawn => mysql::killed(out, sequence),
+        });
     }
 
-    fn send(&mut self) {
-        self.buffer.put(&self.scratch);
-        self.scratch = Vec::new();
+    /// Packets are written with the sequence that has come so far.
+    fn send(&mut self, write: impl FnOnce(&mut Vec<u8>, &mut u8)) {
+        let mut out = Vec::new();
+        write(&mut out, &mut self.sequence);
+        self.buffer.put(&out);
         if let Err(error) = self.flush() {
             log::debug!("session {}: {error}", self.id);
             self.state = State::Closed;
--- a/crates/router/src/transport/engine.rs
+++ b/crates/router/src/transport/engine.rs
@@ -1,6 +1,7 @@
 //! Connections to engines: many pushes on each, and how far each of them came.
 
 use super::buffer::{Buffer, Reached};
+use super::came_up;
 use crate::protocol::engine::{self, Malformed, Pages, Word};
 use crate::routing::{Failure, Outcome, PushId, Reply};
 use calloop::RegistrationToken;
@@ -147,10 +148,7 @@
     pub fn ask(&mut self, now: f64) -> io::Result<()> {
         if self.up() && self.asked_at.is_none() && self.carries() > 0 && now > self.heard_at + QUIET {
             self.asked_at = Some(now);
-            let mut bytes = Vec::new();
-            engine::ping(&mut bytes, SIGN);
-            self.put(&bytes);
-            self.flush()?;
+            self.say(|out| engine::ping(out, SIGN))?;
         }
         Ok(())
     }
@@ -195,52 +193,50 @@
         Ok(())
     }
 
-    pub fn change_lane(&mut self, push: PushId, lane: u8) -> io::Result<()> {
-        let id = self.exchanges.iter().find(|(_, exchange)| exchange.push == push).map(|(id, _)| id.clone());
-        let Some(id) = id else { return Ok(()) };
+    fn say(&mut self, write: impl FnOnce(&mut Vec<u8>)) -> io::Result<()> {
         let mut bytes = Vec::new();
-        engine::lane(&mut bytes, &id, lane);
+        write(&mut bytes);
         self.put(&bytes);
         self.flush()
     }
 
+    /// Under which id a push that has left goes here.
+    fn id_of(&self, push: PushId) -> Option<String> {
+        self.exchanges.iter().find(|(_, exchange)| exchange.push == push).map(|(id, _)| id.clone())
+    }
+
+    pub fn change_lane(&mut self, push: PushId, lane: u8) -> io::Result<()> {
+        let Some(id) = self.id_of(push) else { return Ok(()) };
+        self.say(|out| engine::lane(out, &id, lane))
+    }
+
     /// Gives a push up; tells how far it had come.
     pub fn give_up(&mut self, push: PushId, now: f64) -> (Failure, io::Result<()>) {
         if let Some(at) = self.waiting.iter().position(|(_, waiting, _)| *waiting == push) {
             self.waiting.remove(at);
             return (Failure::NeverSent, Ok(()));
         }
-        let id = self.exchanges.iter().find(|(_, exchange)| exchange.push == push).map(|(id, _)| id.clone());
-        let Some((id, exchange)) = id.and_then(|id| self.exchanges.remove_entry(&id)) else {
+        let Some((id, exchange)) = self.id_of(push).and_then(|id| self.exchanges.remove_entry(&id)) else {
             return (Failure::Sent, Ok(()));
         };
-        let mut bytes = Vec::new();
-        engine::give_up(&mut bytes, &id);
+        let said = self.say(|out| engine::give_up(out, &id));
         self.given_up.insert(id);
-        self.put(&bytes);
         self.idle_since = now;
-        (if exchange.pages.is_some() { Failure::AnsweredInPart } else { Failure::Sent }, self.flush())
+        (if exchange.pages.is_some() { Failure::AnsweredInPart } else { Failure::Sent }, said)
     }
 
     /// Reads what is ready; pushes that ended go into `ends`.
     pub fn work(
         &mut self,
         readable: bool,
-        writable: bool,
         now: f64,
         ends: &mut Vec<(PushId, Outcome)>,
     ) -> Result<(), Broken> {
         self.readable |= readable;
         if let State::Connecting { until } = self.state {
-            if !writable && now < until {
+            if !came_up(&self.stream, until, now)? {
                 return Ok(());
             }
-            if let Some(error) = self.stream.take_error()? {
-                return Err(error.into());
-            }
-            if self.stream.peer_addr().is_err() {
-                return if now < until { Ok(()) } else { Err(Broken::Io(io::ErrorKind::TimedOut.into())) };
-            }
             (self.state, self.heard_at) = (State::Up, now);
             self.send_waiting(now)?;
         }
@@ -277,8 +273,8 @@
             } else if let Some(exchange) = self.exchanges.get_mut(answer.id) {
                 let outcome = match answer.word {
                     Word::Done if exchange.pages.is_none() => {
-                        exchange.pages = Some(Pages::new(answer.pages.unwrap_or(1), answer.body)?);
-                        let pages = exchange.pages.as_mut().expect("just put there");
+                        let pages = Pages::new(answer.pages.unwrap_or(1), answer.body)?;
+                        let pages = exchange.pages.insert(pages);
                         pages.told = answer.work.zip(answer.peak).map(|(ms, mb)| (ms / 1e3, mb));
                         pages.others().for_each(|number| engine::page(&mut asks, answer.id, number));
                         pages.whole().map(|rows| Reply::Done { rows, told: pages.told })
--- a/crates/router/src/transport/links.rs
+++ b/crates/router/src/transport/links.rs
@@ -4,7 +4,6 @@
 use super::{connect, guarded, out_of_descriptors, Handle, Source};
 use crate::protocol::engine::Ask;
 use crate::routing::{Counters, Failure, Outcome, PushId};
-use calloop::Readiness;
 use cleatgw_start::LinkLimits;
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -40,7 +39,7 @@
         let mut found = self.find(engine, address, ask.id, now);
         // An idle one that its engine has just closed would lose the push: that is looked at first.
         while let Some(id) = found.filter(|id| self.links[id].up() && self.links[id].carries() == 0) {
-            self.work(id, Readiness { readable: true, writable: false, error: false }, now);
+            self.work(id, true, now);
             if self.links.contains_key(&id) {
                 break;
             }
@@ -128,12 +127,10 @@
         }
     }
 
-    pub fn work(&mut self, id: u64, readiness: Readiness, now: f64) {
+    pub fn work(&mut self, id: u64, readable: bool, now: f64) {
         let Some(link) = self.links.get_mut(&id) else { return };
         let ends = &mut self.ends;
-        let worked = guarded("a connection to an engine", || {
-            link.work(readiness.readable, readiness.writable, now, ends)
-        });
+        let worked = guarded("a connection to an engine", || link.work(readable, now, ends));
         match worked {
             Some(Ok(())) => {}
             Some(Err(why)) => self.broken(id, why),
@@ -161,7 +158,7 @@
         for id in due {
             let connecting = self.links.get(&id).is_some_and(|link| !link.up());
             if connecting {
-                self.work(id, Readiness { readable: false, writable: true, error: false }, now);
+                self.work(id, false, now);
             } else {
                 self.close(id);
             }
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -15,6 +15,7 @@
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
 use cleatgw_start::LinkLimits;
 use links::Links;
+use rustix::io::Errno;
 use sessions::Sessions;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io;
@@ -72,8 +73,7 @@
     socket.set_nonblocking(true)?;
     socket.set_tcp_nodelay(true)?;
     if let Err(error) = socket.connect(&to.into()) {
-        let under_way = error.raw_os_error() == Some(rustix::io::Errno::INPROGRESS.raw_os_error());
-        if !under_way && error.kind() != io::ErrorKind::WouldBlock {
+        if !matches!(Errno::from_io_error(&error), Some(Errno::INPROGRESS | Errno::WOULDBLOCK)) {
             return Err(error);
         }
     }
@@ -81,9 +81,20 @@
     Ok((watch(handle, stream.clone(), source)?, stream))
 }
 
+/// Whether a connection that was begun is up; an error is why it never will be.
+fn came_up(stream: &TcpStream, until: f64, now: f64) -> io::Result<bool> {
+    if let Some(error) = stream.take_error()? {
+        return Err(error);
+    }
+    let up = stream.peer_addr().is_ok();
+    if !up && now >= until {
+        return Err(io::Error::new(io::ErrorKind::TimedOut, "no connection came up"));
+    }
+    Ok(up)
+}
+
 fn out_of_descriptors(error: &io::Error) -> bool {
-    let short = [rustix::io::Errno::MFILE, rustix::io::Errno::NFILE, rustix::io::Errno::NOBUFS];
-    short.iter().any(|errno| error.raw_os_error() == Some(errno.raw_os_error()))
+    matches!(Errno::from_io_error(error), Some(Errno::MFILE | Errno::NFILE | Errno::NOBUFS))
 }
 
 /// Work on one connection: a panic in it stops there, and gives nothing back.
@@ -157,6 +168,10 @@
     longest_job: f64,
 }
 
+pub fn unix_time() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |since| since.as_secs_f64())
+}
+
 /// The Unix clock; where that is set back, time goes on from where it was.
 #[derive(Default)]
 struct Clock {
@@ -166,7 +181,7 @@
 
 impl Clock {
     fn read(&mut self) -> f64 {
-        self.at(SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |since| since.as_secs_f64()))
+        self.at(unix_time())
     }
 
     fn at(&mut self, unix: f64) -> f64 {
@@ -244,8 +259,8 @@
                 Source::Session(id) => {
                     self.net.sessions.work(id, readiness, self.serving, now, &mut self.news)
                 }
-                Source::Link(id) => self.net.links.work(id, readiness, now),
-                Source::Board => self.board(readiness, now),
+                Source::Link(id) => self.net.links.work(id, readiness.readable, now),
+                Source::Board => self.board(readiness.readable, now),
             }
         }
         // Last, as those that are closed for room must have nothing unread.
@@ -310,10 +325,9 @@
         self.stopping.is_some_and(over)
     }
 
-    fn board(&mut self, readiness: Readiness, now: f64) {
-        let (readable, writable) = (readiness.readable, readiness.writable);
+    fn board(&mut self, readable: bool, now: f64) {
         let (board, lists) = (&mut self.board, &mut self.news.lists);
-        let worked = guarded("the notice board's link", || board.work(readable, writable, now, lists));
+        let worked = guarded("the notice board's link", || board.work(readable, now, lists));
         if let Err(why) = worked.unwrap_or(Err("failed".to_string())) {
             if let Some(token) = self.board.lost(&why, now) {
                 self.handle.remove(token);
@@ -331,7 +345,7 @@
                 }
                 self.board.connecting(wire.ok(), now);
             } else {
-                self.board(Readiness::EMPTY, now);
+                self.board(false, now);
             }
         }
         self.net.links.time_passed(now);
