--- a/crates/router/tests/standins/mod.rs
+++ b/crates/router/tests/standins/mod.rs
@@ -37,8 +37,8 @@
     }
 }
 
-/// An engine: what it does is the first word of a job's statement, in its order of connections:
-/// `pages N`, `hold`, `reset`, `full`, `broke`, `losepage`, `garbage`, `mute`, `late`.
+/// An engine: what it does is the first word of a job's statement (`pages N`, `hold`, `mute` on its first
+/// connection), or of its uid where that tells of a fault (`resets`, `full`, `loses` pages, `garbage`, `wide` rows).
 #[derive(Clone)]
 pub struct Engine {
     pub address: SocketAddr,
@@ -47,14 +47,13 @@
 }
 
 impl Engine {
-    pub fn start(uid: &str) -> Engine {
-        Engine::at(uid, ([127, 0, 0, 1], 0).into())
+    fn behind(listener: &TcpListener, uid: &str) -> Engine {
+        Engine { address: listener.local_addr().unwrap(), uid: uid.to_string(), seen: Seen::default() }
     }
 
-    pub fn at(uid: &str, address: SocketAddr) -> Engine {
-        let listener = TcpListener::bind(address).unwrap();
-        let engine =
-            Engine { address: listener.local_addr().unwrap(), uid: uid.to_string(), seen: Seen::default() };
+    pub fn start(uid: &str) -> Engine {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let engine = Engine::behind(&listener, uid);
         let served = engine.clone();
         std::thread::spawn(move || {
             for (number, stream) in listener.incoming().enumerate() {
@@ -73,8 +72,7 @@
         socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
         socket.listen(0).unwrap();
         let listener = TcpListener::from(socket);
-        let engine =
-            Engine { address: listener.local_addr().unwrap(), uid: uid.to_string(), seen: Seen::default() };
+        let engine = Engine::behind(&listener, uid);
         let served = engine.clone();
         std::thread::spawn(move || {
             let (mut stream, _) = listener.accept().unwrap();
@@ -119,7 +117,6 @@
             };
             let asked: Vec<&str> = statement.split(' ').collect();
             let answer = match (words[0], asked[0]) {
-                ("PAGE", _) if words[2] == "99" => continue,
                 ("PAGE", _) if self.uid.contains("loses") => format!("{} BROKE - 0\r\n\r\n", words[1]),
                 ("PAGE", _) => {
                     let row = row(words[2].parse().unwrap());
@@ -260,10 +257,6 @@
 }
 
 impl Router {
-    pub fn start(board: &Board) -> Router {
-        Router::with(board, 256)
-    }
-
     pub fn with(board: &Board, sockets: u32) -> Router {
         let address = vacant();
         let text = configuration(&address.to_string(), &board.address.to_string(), &board.known(), sockets);
@@ -295,15 +288,18 @@
 
     /// Stops the process, does this, and lets it go on after a while.
     pub fn stop_for(&self, time: Duration, meanwhile: impl FnOnce()) {
-        let process = Pid::from_raw(self.child.id() as i32).unwrap();
-        kill_process(process, Signal::STOP).unwrap();
+        self.signal(Signal::STOP);
         meanwhile();
         std::thread::sleep(time);
-        kill_process(process, Signal::CONT).unwrap();
+        self.signal(Signal::CONT);
     }
 
     pub fn terminate(&self) {
-        kill_process(Pid::from_raw(self.child.id() as i32).unwrap(), Signal::TERM).unwrap();
+        self.signal(Signal::TERM);
+    }
+
+    fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_raw(self.child.id() as i32).unwrap(), signal).unwrap();
     }
 
     /// Waits for its end; its exit code and its last counters.
--- a/crates/router/tests/whole.rs
+++ b/crates/router/tests/whole.rs
@@ -8,12 +8,19 @@
 use std::process::Command;
 use std::time::{Duration, Instant};
 
+const DESCRIPTORS: u32 = 256;
+
 /// A board that lists these engines, and a router on it.
 fn started(engines: &[&Engine]) -> (Board, Router) {
+    limited(engines, DESCRIPTORS)
+}
+
+/// The same, with so many descriptors.
+fn limited(engines: &[&Engine], descriptors: u32) -> (Board, Router) {
     let board = Board::start();
     let entries: Vec<String> = engines.iter().map(|engine| engine.entry("ready")).collect();
     board.tell(true, &entries);
-    let router = Router::start(&board);
+    let router = Router::with(&board, descriptors);
     (board, router)
 }
 
@@ -229,9 +236,7 @@
 #[test]
 fn clients_that_are_idle_or_read_nothing_hold_up_nobody() {
     let engine = Engine::start("e");
-    let board = Board::start();
-    board.tell(true, &[engine.entry("ready")]);
-    let router = Router::with(&board, 64);
+    let (_board, router) = limited(&[&engine], 64);
     // More than the descriptors allow: the idle ones make room.
     let mut idle: Vec<Client> = (0..100).map(|_| Client::new(&router)).collect();
     let mut deaf = Client::new(&router);
@@ -273,10 +278,8 @@
 #[test]
 fn running_out_of_descriptors_costs_idle_sessions_only() {
     let engine = Engine::start("e");
-    let board = Board::start();
-    board.tell(true, &[engine.entry("ready")]);
     // Fewer than the router's shares for clients and engines and what it needs itself.
-    let router = Router::with(&board, 20);
+    let (_board, router) = limited(&[&engine], 20);
     let mut open = Client::new(&router);
     open.send(&job("look", 20000, "hold"));
     engine.seen.wait("GET", 1);
@@ -371,7 +374,7 @@
 #[test]
 fn ping_is_answered_once_engines_are_known() {
     let board = Board::start();
-    let router = Router::start(&board);
+    let router = Router::with(&board, DESCRIPTORS);
     let mut client = Client::new(&router);
     client.stream.write_all(&packet(0, &[0x0e])).unwrap();
     let mut byte = [0];
@@ -388,7 +391,7 @@
     let mut board = Board::start();
     board.address = vacant();
     board.tell(true, &[engine.entry("ready")]);
-    let router = Router::start(&board);
+    let router = Router::with(&board, DESCRIPTORS);
     let mut client = Client::new(&router);
     // Half a second passes while this waits for its cut-off.
     assert!(matches!(client.ask(&job("look", 500, "hold")), Answered::Error(1040, _)));
