SIGHUP reads the configuration again and moves the board; it ended the process

Checked: 129 is 128 + SIGHUP; transport/mod.rs, serve, listed SIGTERM, SIGINT and SIGUSR1 alone, so the default action ran. Ruled out: the board's move itself, as the process was gone before the old board stopped telling. Now the file is read again: a new board address is asked at once from the last event held, the old connection is dropped without waiting; newer events under known are applied as far as they follow on; a file that can't be used leaves all as it was, with one line; what can't change is named. The program hands transport a closure, so layers stay as they were. Test: a_new_configuration_moves_the_board_and_one_that_is_no_use_changes_nothing (fails without it: the process ends).

--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -16,6 +16,8 @@
     pub known: Vec<Event>,
     pub deployment: Deployment,
     pub names: Names,
+    /// What stands for as long as the router runs, by its names.
+    pub fixed: [(&'static str, Value); 4],
 }
 
 fn wrong<T>(field: &str, expected: &str, got: &Value) -> Result<T, Complaint> {
@@ -94,5 +96,6 @@
         known: events,
         deployment,
         names,
+        fixed: ["name", "listen", "limits", "settings"].map(|field| (field, value[field].clone())),
     })
 }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -9,8 +9,10 @@
 use bpaf::{construct, long, positional, pure, OptionParser, Parser};
 use routing::{News, Routing};
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
-use std::path::PathBuf;
+use serde_json::Value;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use transport::Reread;
 
 const CONFIG: &str = "BALANCER_CONFIG";
 
@@ -40,10 +42,13 @@
         .descr("A query gateway: decides what runs, where, and with how much memory")
 }
 
-fn told(config: Option<PathBuf>) -> Result<config::Told, String> {
+fn path(config: Option<PathBuf>) -> Result<PathBuf, String> {
     let path = config.or_else(|| std::env::var_os(CONFIG).map(PathBuf::from));
-    let path = path.ok_or(format!("no configuration: give --config FILE or set {CONFIG}"))?;
-    let text = std::fs::read_to_string(&path).map_err(|error| format!("{}: {error}", path.display()))?;
+    path.ok_or(format!("no configuration: give --config FILE or set {CONFIG}"))
+}
+
+fn told(path: &Path) -> Result<config::Told, String> {
+    let text = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
     config::read(&text).map_err(|complaint| format!("{}: {}", path.display(), complaint.0))
 }
 
@@ -60,21 +65,35 @@
     }
 }
 
+/// What of a new configuration takes effect while the router runs.
+fn reread(path: &Path, fixed: &[(&str, Value)]) -> Result<Reread, String> {
+    let told = told(path)?;
+    let changed = fixed.iter().zip(&told.fixed).filter(|(was, is)| *was != *is);
+    let changed: Vec<&str> = changed.map(|((field, _), _)| *field).collect();
+    if !changed.is_empty() {
+        log::warn!("configuration: {} can't change while running, what was stands", changed.join(", "));
+    }
+    Ok(Reread { board: told.place.board, known: told.known })
+}
+
 fn serve(config: Option<PathBuf>) -> Result<(), String> {
-    let mut told = told(config)?;
+    let path = path(config)?;
+    let mut told = told(&path)?;
     told.place.descriptors = descriptors(told.place.descriptors as u64) as usize;
     log::info!("{} starts, version {}", told.name, env!("CARGO_PKG_VERSION"));
     let routing = Routing::new(told.deployment, told.names, told.seed, transport::unix_time());
     let news = News { lists: told.known, ..News::default() };
     let listen = told.place.listen;
+    let fixed = told.fixed;
+    let reread = Box::new(move || reread(&path, &fixed));
     let counters =
-        transport::serve(told.place, routing, news).map_err(|error| format!("{listen}: {error}"))?;
+        transport::serve(told.place, routing, news, reread).map_err(|error| format!("{listen}: {error}"))?;
     log::info!("counters: {counters}");
     Ok(())
 }
 
 fn check(config: Option<PathBuf>) -> Result<(), String> {
-    let told = told(config)?;
+    let told = told(&path(config)?)?;
     let engines: usize =
         told.known.iter().filter_map(|event| event.list.as_ref()).map(|(_, list)| list.len()).sum();
     println!(
--- a/crates/router/src/routing/counters.rs
+++ b/crates/router/src/routing/counters.rs
@@ -58,6 +58,9 @@
     board_events,
     board_connects,
     board_malformed,
+    /// Configurations read again, and those of them that could not be used.
+    reloads,
+    reloads_refused,
     module_panics,
     panics,
     turns,
--- a/crates/router/src/transport/board.rs
+++ b/crates/router/src/transport/board.rs
@@ -74,6 +74,32 @@
         (self.wire, self.buffer, self.readable) = (wire, Buffer::default(), false);
     }
 
+    /// Takes over a new address, which is asked at once from the last event held, and events that are newer: the
+    /// old address tells nothing more, though its connections may stay open for a while.
+    pub fn told_anew(
+        &mut self,
+        address: Option<SocketAddr>,
+        mut known: Vec<Event>,
+        now: f64,
+        events: &mut Vec<Event>,
+    ) -> Option<RegistrationToken> {
+        known.sort_by_key(|event| event.number);
+        for event in known {
+            let starts = matches!(event.list, Some((true, _)));
+            if event.number == self.last + 1 || starts && event.number > self.last {
+                self.last = event.number;
+                events.push(event);
+            }
+        }
+        if address == self.address {
+            return None;
+        }
+        let words = address.map_or("none".to_string(), |address| address.to_string());
+        log::info!("notice board is {words} now, asked from event {}", self.last);
+        (self.address, self.state, self.readable) = (address, State::Down { retry_at: now }, false);
+        self.wire.take().map(|(token, _)| token)
+    }
+
     /// Gives the connection up; its registration is returned to be undone.
     pub fn lost(&mut self, why: &str, now: f64) -> Option<RegistrationToken> {
         // Told once for as long as it stays away.
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -7,6 +7,7 @@
 mod links;
 mod sessions;
 
+use crate::protocol::board::Event;
 use crate::protocol::engine::Ask;
 use crate::routing::{Answer, Counters, Failure, News, Peers, PushId, Routing, SessionId};
 use board::BoardLink;
@@ -115,6 +116,15 @@
     pub longest_job: Option<f64>,
 }
 
+/// What a new configuration changes while the router runs.
+pub struct Reread {
+    pub board: Option<SocketAddr>,
+    pub known: Vec<Event>,
+}
+
+/// Reads the configuration again, or says why it can't be used.
+type Rereads = Box<dyn Fn() -> Result<Reread, String>>;
+
 /// The connections that routing's words are carried out on.
 struct Net {
     sessions: Sessions,
@@ -166,6 +176,8 @@
     /// When the router was told to stop, and by when it must have.
     stopping: Option<(f64, f64)>,
     longest_job: f64,
+    reread: Rereads,
+    counters: Counters,
 }
 
 pub fn unix_time() -> f64 {
@@ -194,10 +206,10 @@
 }
 
 /// Serves until it is told to stop and every job has its answer.
-pub fn serve(place: Place, routing: Routing, news: News) -> io::Result<Counters> {
+pub fn serve(place: Place, routing: Routing, news: News, reread: Rereads) -> io::Result<Counters> {
     let mut event_loop: EventLoop<Ready> = EventLoop::try_new()?;
     let handle = event_loop.handle();
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1])?;
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP])?;
     let noted =
         handle.insert_source(signals, |event, _, ready: &mut Ready| ready.signals.push(event.signal()));
     noted.map_err(|error| io::Error::other(error.error))?;
@@ -219,6 +231,8 @@
         serving: false,
         stopping: None,
         longest_job,
+        reread,
+        counters: Counters::default(),
     };
     let mut ready = Ready::default();
     loop {
@@ -303,6 +317,7 @@
         counters.add(&self.net.sessions.counters());
         counters.add(&self.net.links.counters());
         counters.add(&self.board.counters);
+        counters.add(&self.counters);
         counters
     }
 
@@ -311,6 +326,9 @@
             let counters = self.counters();
             return log::info!("counters: {counters}");
         }
+        if signal == Signal::SIGHUP {
+            return self.new_configuration(now);
+        }
         if self.stopping.is_none() {
             let last = now + self.longest_job.min(LONGEST_GIVEN) + KILLED_AFTER - STOP_MARGIN;
             log::info!("{signal:?}: stopping, {} jobs open", self.routing.open());
@@ -319,6 +337,21 @@
         }
     }
 
+    /// A configuration that can't be used changes nothing.
+    fn new_configuration(&mut self, now: f64) {
+        self.counters.reloads += 1;
+        match (self.reread)() {
+            Ok(Reread { board, known }) => {
+                let token = self.board.told_anew(board, known, now, &mut self.news.lists);
+                token.into_iter().for_each(|token| self.handle.remove(token));
+            }
+            Err(why) => {
+                self.counters.reloads_refused += 1;
+                log::warn!("the configuration is not taken, the running one stands: {why}");
+            }
+        }
+    }
+
     fn stopped(&self) -> bool {
         let done = || self.routing.open() == 0 && self.net.sessions.unsent() == 0;
         let over = |(at, last)| self.net.now >= at && done() || self.net.now >= last + STOP_MARGIN / 2.0;
--- a/crates/router/tests/standins/mod.rs
+++ b/crates/router/tests/standins/mod.rs
@@ -5,6 +5,7 @@
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -23,6 +24,10 @@
         self.0 .1.notify_all();
     }
 
+    pub fn forget(&self) {
+        self.0 .0.lock().unwrap().clear();
+    }
+
     pub fn all(&self) -> Vec<String> {
         self.0 .0.lock().unwrap().clone()
     }
@@ -156,11 +161,20 @@
 
 impl Board {
     pub fn start() -> Board {
+        Board::telling(Arc::default())
+    }
+
+    /// The same board at another address.
+    pub fn moved(&self) -> Board {
+        Board::telling(self.events.clone())
+    }
+
+    fn telling(events: Arc<Mutex<Vec<String>>>) -> Board {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let board = Board {
             address: listener.local_addr().unwrap(),
             seen: Seen::default(),
-            events: Arc::default(),
+            events,
             open: Arc::default(),
         };
         let (seen, events, open) = (board.seen.clone(), board.events.clone(), board.open.clone());
@@ -233,10 +247,12 @@
     pub log: Seen,
     /// While this is held, nobody reads the log.
     pub reading: Arc<Mutex<()>>,
+    sockets: u32,
+    file: PathBuf,
     child: Child,
 }
 
-pub fn configuration(listen: &str, board: &str, known: &str, sockets: u32) -> String {
+pub fn configuration(listen: SocketAddr, board: SocketAddr, known: &str, sockets: u32) -> String {
     let category = |name: &str, kind: &str| {
         format!(
             r#"{{"name":"{name}","idempotency":"{kind}","group":"all","window-us":12000000,"objective-us":1000000,
@@ -259,10 +275,9 @@
 impl Router {
     pub fn with(board: &Board, sockets: u32) -> Router {
         let address = vacant();
-        let text = configuration(&address.to_string(), &board.address.to_string(), &board.known(), sockets);
         let number = ROUTERS.fetch_add(1, Ordering::Relaxed);
         let file = std::env::temp_dir().join(format!("cleatgw-{}-{number}.json", std::process::id()));
-        std::fs::write(&file, text).unwrap();
+        std::fs::write(&file, configuration(address, board.address, &board.known(), sockets)).unwrap();
         let limited = format!("ulimit -n {sockets}; exec {}", env!("CARGO_BIN_EXE_cleatgw"));
         let mut child = Command::new("sh")
             .args(["-c", &limited])
@@ -282,8 +297,7 @@
             }
         });
         log.wait("listens on", 1);
-        std::fs::remove_file(file).unwrap();
-        Router { address, log, reading, child }
+        Router { address, log, reading, sockets, file, child }
     }
 
     /// Stops the process, does this, and lets it go on after a while.
@@ -294,6 +308,17 @@
         self.signal(Signal::CONT);
     }
 
+    /// Has this in place of the configuration, and is told so.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(&self.file, text).unwrap();
+        self.signal(Signal::HUP);
+    }
+
+    /// The configuration with this board.
+    pub fn configuration(&self, board: &Board, known: &str) -> String {
+        configuration(self.address, board.address, known, self.sockets)
+    }
+
     pub fn terminate(&self) {
         self.signal(Signal::TERM);
     }
@@ -313,6 +338,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
     }
 }
 
--- a/crates/router/tests/whole.rs
+++ b/crates/router/tests/whole.rs
@@ -338,7 +338,8 @@
 #[test]
 fn a_bad_configuration_is_named_by_its_field_in_one_line() {
     let file = std::env::temp_dir().join(format!("cleatgw-{}-bad.json", std::process::id()));
-    let good = configuration("127.0.0.1:6565", "127.0.0.1:9092", r#"{"rev":0,"notices":[]}"#, 64);
+    let at = |port| ([127, 0, 0, 1], port).into();
+    let good = configuration(at(6565), at(9092), r#"{"rev":0,"notices":[]}"#, 64);
     for (was, is, field) in [
         (
             "\"listen\":\"127.0.0.1:6565\"",
@@ -398,3 +399,42 @@
     let turns = counter(&client.counters("turned_back", 1), "turns");
     assert!(turns < 300, "{turns} turns");
 }
+
+#[test]
+fn a_new_configuration_moves_the_board_and_one_that_is_no_use_changes_nothing() {
+    let (first, second, third) = (Engine::start("first"), Engine::start("second"), Engine::start("third"));
+    let (old, mut router) = started(&[&first]);
+    let mut client = Client::new(&router);
+    client.send(&job("look", 20000, "hold"));
+    first.seen.wait("GET", 1);
+    for bad in
+        ["", "{\"name\":", &router.configuration(&old, "{}").replace("\"gain\":1.0", "\"gain\":\"much\"")]
+    {
+        router.reload(bad);
+        router.log.wait("the configuration is not taken, the running one stands", 1);
+        router.log.forget();
+    }
+    let known = |number, entry| {
+        format!(r#"{{"rev":9,"notices":[{{"rev":{number},"pool":{{"all":false,"targets":[{entry}]}}}}]}}"#)
+    };
+    let new = old.moved();
+    // An event that is newer is taken from the file, one behind a gap is left to the board.
+    let text = router.configuration(&new, &known(2, second.entry("ready")));
+    old.tell(false, &[second.entry("ready")]);
+    router.reload(&text.replace("\"memory_mb\":192", "\"memory_mb\":99"));
+    router.log.wait("configuration: limits can't change while running", 1);
+    router.log.wait("is second", 1);
+    new.seen.wait("watch 2", 1);
+    router.reload(&router.configuration(&new, &known(9, first.entry("gone"))));
+    new.tell(false, &[first.entry("draining"), third.entry("ready")]);
+    router.log.wait("is third", 1);
+    assert_eq!(Client::new(&router).ask(&job("look", 5000, "x")), rows(1));
+    assert_eq!(first.seen.all().iter().filter(|line| line.starts_with("GET")).count(), 1);
+    // While stopping too; the job that was open all along has its answer.
+    router.terminate();
+    router.log.wait("stopping", 1);
+    router.reload(&text);
+    assert!(matches!(client.answer(), Answered::Error(1040, _)));
+    let (code, counters) = router.ended();
+    assert_eq!((code, counter(&counters, "reloads"), counter(&counters, "reloads_refused")), (Some(0), 6, 3));
+}
