Fields unfit for use, unknown tenants and ids in use are refused; no result set of our own

The protocol knows no such result: only an engine makes one. Also seen: tenants that do not exist and estimates that are no numbers or out of range were taken as absent and pushed, up to three times each, and the engines' errors counted as doubt of sound engines (statement.rs, request; org was not read). SELECT and SHOW without fields are errors; drivers' SET and the like stay OK.

--- a/crates/router/src/protocol/statement.rs
+++ b/crates/router/src/protocol/statement.rs
@@ -14,18 +14,6 @@
     },
     /// Answered with OK: there is no state that it could change.
     Harmless,
-    /// One row of values that a driver wants to know, by the names it gives them.
-    Values(Vec<(String, Value)>),
-    /// A result without rows.
-    Nothing,
-}
-
-/// A value that is known to the gateway, or stands for itself.
-#[derive(Debug, PartialEq)]
-pub enum Value {
-    Text(String),
-    SessionId,
-    LongestPacket,
 }
 
 /// A job as its client asks for it.
@@ -35,6 +23,7 @@
     pub category: String,
     /// How long the client waits, in seconds.
     pub patience: f64,
+    pub tenant: Option<String>,
     pub receipt: Option<String>,
     pub work: Option<f64>,
     pub memory_mb: Option<f64>,
@@ -43,10 +32,9 @@
     pub statement: Vec<u8>,
 }
 
-/// What is more than a day, or more than any machine has, is no estimate.
+/// What is more than a day, or more than any machine has, is out of range.
 const LONGEST_MS: f64 = 86_400e3;
 const MOST_MB: f64 = 16e6;
-const MOST_VALUES: usize = 250;
 
 /// Reads a statement, or says why nothing can be made of it.
 pub fn read(statement: &[u8]) -> Result<Asked, String> {
@@ -63,13 +51,9 @@
             Ok(Asked::Kill { session, query_only: is(1, "QUERY") })
         }
         "SET" | "USE" | "BEGIN" | "START" | "COMMIT" | "ROLLBACK" => Ok(Asked::Harmless),
-        "SHOW" => Ok(Asked::Nothing),
         "" => Err("the statement is empty".to_string()),
-        first => {
-            let values = if first == "SELECT" { values(&tokens[1..]) } else { None };
-            let no_job = "no fields comment ahead of the statement: a job needs op, call and ttl there";
-            values.map(Asked::Values).ok_or(no_job.to_string())
-        }
+        // Not even a constant is answered with a result set: a client may take that for an engine's.
+        _ => Err("no fields comment ahead of the statement: a job needs op, call and ttl there".to_string()),
     }
 }
 
@@ -85,36 +69,54 @@
     any.then_some((fields, rest.strip_prefix(b" ").unwrap_or(rest)))
 }
 
+/// Every field that is there must be fit for use: what is not is no usual client's, and engines would err at it.
 fn request(fields: &str, statement: &[u8]) -> Result<Request, String> {
-    let field = |name: &str| pairs(fields).find(|(key, _)| key.trim() == name).map(|(_, value)| value.trim());
-    let number = |name: &str, most: f64| {
-        field(name)?.parse::<f64>().ok().filter(|value| (0.0..=most).contains(value) && *value > 0.0)
+    let all = |name: &'static str| {
+        pairs(fields).filter(move |(key, _)| key.trim() == name).map(|(_, value)| value.trim())
+    };
+    let wrong = |name: &'static str, what: &str| {
+        let got = all(name).collect::<Vec<_>>().join(" and ");
+        format!("field {name}: expected {what}, got \"{got}\"")
+    };
+    let field = |name, what: &str, fits: fn(&str) -> bool| match all(name).collect::<Vec<_>>()[..] {
+        [] => Ok(None),
+        [value] if fits(value) => Ok(Some(value)),
+        _ => Err(wrong(name, what)),
     };
-    let plain = |text: &&str| {
+    let need = |name, what, fits| field(name, what, fits)?.ok_or_else(|| wrong(name, what));
+    let plain = |text: &str| {
         (1..=64).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_graphic() && byte != b'=')
     };
-    let hex = |text: &&str| text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
-    let need = |name: &str, what: &str| {
-        format!("field {name}: expected {what}, got \"{}\"", field(name).unwrap_or(""))
+    let hex = |text: &str| text.len() == 16 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+    let number = |name, what: &str, most: f64| match field(name, what, |_| true)?.map(str::parse::<f64>) {
+        None => Ok(None),
+        Some(Ok(value)) if (0.0..=most).contains(&value) => Ok(Some(value).filter(|&value| value > 0.0)),
+        Some(_) => Err(wrong(name, what)),
     };
     if statement.trim_ascii().is_empty() {
         return Err("the statement is empty".to_string());
     }
     Ok(Request {
-        id: field("call").filter(hex).ok_or_else(|| need("call", "16 hex digits"))?.to_string(),
-        category: field("op").filter(plain).ok_or_else(|| need("op", "a category"))?.to_string(),
-        patience: number("ttl", LONGEST_MS).ok_or_else(|| need("ttl", "milliseconds"))? / 1e3,
-        receipt: field("dedupe").filter(plain).map(str::to_string),
-        work: number("work", LONGEST_MS).map(|ms| ms / 1e3),
-        memory_mb: number("mb", MOST_MB),
+        id: need("call", "16 hex digits", hex)?.to_string(),
+        category: need("op", "a category", plain)?.to_string(),
+        patience: number("ttl", "milliseconds", LONGEST_MS)?.ok_or_else(|| wrong("ttl", "milliseconds"))?
+            / 1e3,
+        tenant: field("org", "a tenant", plain)?.map(str::to_string),
+        receipt: field("dedupe", "a mark against repeats", plain)?.map(str::to_string),
+        work: number("work", "milliseconds", LONGEST_MS)?.map(|ms| ms / 1e3),
+        memory_mb: number("mb", "megabytes", MOST_MB)?,
         table_group: table_group(statement),
         statement: statement.to_vec(),
     })
 }
 
 /// Why a job that was well asked for cannot be taken.
-pub fn unknown_category(got: &str, known: &[String]) -> String {
-    format!("field op: expected one of {}, got \"{got}\"", known.join(" "))
+pub fn unknown(field: &str, got: &str, known: &[String]) -> String {
+    format!("field {field}: expected one of {}, got \"{got}\"", known.join(" "))
+}
+
+pub fn id_in_use(id: &str) -> String {
+    format!("field call: expected an id that is not in use, got \"{id}\"")
 }
 
 pub fn no_receipt(category: &str) -> String {
@@ -284,65 +286,6 @@
     lists && (words.iter().any(|word| token.is(word)) || matches!(token, Token::Sign(b',' | b'(')))
 }
 
-/// What a driver's `SELECT` of variables and the like asks for; nothing, where it reads tables.
-fn values(tokens: &[Token]) -> Option<Vec<(String, Value)>> {
-    let end = tokens.iter().position(|token| token.is("LIMIT") || *token == Token::Sign(b';'));
-    let items = tokens[..end.unwrap_or(tokens.len())].split(|token| *token == Token::Sign(b','));
-    if items.clone().count() > MOST_VALUES {
-        return None;
-    }
-    items
-        .map(|item| {
-            let alias = item.iter().position(|token| token.is("AS"));
-            let (item, alias) = item.split_at(alias.unwrap_or(item.len()));
-            let (name, value) = match item {
-                [Token::Sign(b'@'), Token::Sign(b'@'), scope @ .., name] => {
-                    let scoped = matches!(scope, [] | [Token::Word(_), Token::Sign(b'.')]);
-                    let name = name.name().filter(|_| scoped)?;
-                    let value = match name.eq_ignore_ascii_case("max_allowed_packet") {
-                        true => Value::LongestPacket,
-                        false => Value::Text(variable(name).to_string()),
-                    };
-                    (format!("@@{name}"), value)
-                }
-                [Token::Word(name), Token::Sign(b'('), Token::Sign(b')')] => {
-                    let value = match name.to_ascii_lowercase().as_str() {
-                        "connection_id" => Value::SessionId,
-                        "version" => Value::Text(super::mysql::VERSION.to_string()),
-                        "database" | "schema" | "user" | "current_user" => Value::Text(String::new()),
-                        _ => return None,
-                    };
-                    (format!("{name}()"), value)
-                }
-                [Token::Word(number)] if number.bytes().all(|byte| byte.is_ascii_digit()) => {
-                    (number.to_string(), Value::Text(number.to_string()))
-                }
-                [Token::Text(text)] => (text.to_string(), Value::Text(text.to_string())),
-                _ => return None,
-            };
-            let alias = alias.get(1).and_then(Token::name).map(str::to_string);
-            Some((alias.unwrap_or(name), value))
-        })
-        .collect()
-}
-
-fn variable(name: &str) -> &'static str {
-    let lower = name.to_ascii_lowercase();
-    match lower.as_str() {
-        "version" => super::mysql::VERSION,
-        "version_comment" => "cleatgw",
-        "autocommit" | "auto_increment_increment" => "1",
-        "transaction_isolation" | "tx_isolation" => "REPEATABLE-READ",
-        "time_zone" => "SYSTEM",
-        "system_time_zone" => "UTC",
-        "wait_timeout" | "interactive_timeout" => "28800",
-        "lower_case_table_names" | "transaction_read_only" | "query_cache_size" => "0",
-        _ if lower.starts_with("character_set") => "utf8mb4",
-        _ if lower.starts_with("collation") => "utf8mb4_general_ci",
-        _ => "",
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -370,17 +313,34 @@
     }
 
     #[test]
-    fn odd_optional_fields_are_absent() {
+    fn estimates_may_be_absent_but_no_field_may_be_unfit_for_use() {
+        for absent in ["", ",rep=1", ",,=,work", ",work=0,mb=0", ",later=x"] {
+            let request = job(&format!("/*{FIELDS}{absent}*/SELECT 1 FROM a_1.b"));
+            assert_eq!((request.work, request.memory_mb, request.receipt), (None, None, None), "{absent}");
+        }
         for odd in [
-            "",
-            ",work=,mb=",
-            ",work=much,mb=-3",
-            ",work=NaN,mb=inf,dedupe=a b",
-            ",,=,work",
-            ",work=1e300,mb=1e30",
+            "work=",
+            "work=much",
+            "work=NaN",
+            "work=-1",
+            "work=1e19",
+            "mb=-3",
+            "mb=inf",
+            "mb=1e12",
+            "mb=0x10",
+            "dedupe=a b",
+            "dedupe=",
+            "org=",
+            "org=a b",
+            "op=report",
+            "ttl=1500",
+            "call=9b1f03aa5c7e2d41",
+            "mb=1,mb=1",
+            "org=a,org=b",
         ] {
-            let request = job(&format!("/*{FIELDS}{odd}*/SELECT 1 FROM a_1.b"));
-            assert_eq!((request.work, request.memory_mb, request.receipt), (None, None, None), "{odd}");
+            let (name, _) = odd.split_once('=').unwrap();
+            let why = read(format!("/*{FIELDS},{odd}*/SELECT 1 FROM a_1.b").as_bytes()).unwrap_err();
+            assert!(why.starts_with(&format!("field {name}: expected")), "{odd}: {why}");
         }
     }
 
@@ -440,19 +400,15 @@
     }
 
     #[test]
-    fn what_drivers_send_at_their_start_is_answered() {
-        let asked = |text: &str| read(text.as_bytes()).unwrap();
+    fn what_changes_no_state_is_harmless_and_nothing_else_without_fields_is_answered() {
         for text in ["SET NAMES utf8mb4", "set autocommit=0", "USE reports", "COMMIT", "/* x */ ROLLBACK"] {
-            assert_eq!(asked(text), Asked::Harmless, "{text}");
+            assert_eq!(read(text.as_bytes()), Ok(Asked::Harmless), "{text}");
+        }
+        for text in
+            ["SELECT 1", "SHOW VARIABLES", "/* x */ SELECT @@version_comment", "SELECT 1 FROM sales_1.t"]
+        {
+            assert!(read(text.as_bytes()).unwrap_err().contains("no fields comment"), "{text}");
         }
-        assert_eq!(asked("SHOW VARIABLES LIKE 'x'"), Asked::Nothing);
-        let values =
-            asked("/* mysql-connector-j */SELECT @@session.autocommit AS a, @@version_comment LIMIT 1");
-        let text = |name: &str, value: &str| (name.to_string(), Value::Text(value.to_string()));
-        assert_eq!(values, Asked::Values(vec![text("a", "1"), text("@@version_comment", "cleatgw")]));
-        assert_eq!(asked("SELECT 1"), Asked::Values(vec![text("1", "1")]));
-        let id = Asked::Values(vec![("CONNECTION_ID()".to_string(), Value::SessionId)]);
-        assert_eq!(asked("SELECT CONNECTION_ID()"), id);
     }
 
     #[test]
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -115,6 +115,8 @@
     engines: Vec<Engine>,
     jobs: HashMap<usize, Job>,
     job_of: HashMap<SessionId, usize>,
+    /// The ids of jobs that are open.
+    ids: HashSet<String>,
     /// When each push that is out has waited long enough.
     due: BTreeSet<(u64, PushId)>,
     /// Ends brought about by decisions: news of the next turn.
@@ -213,6 +215,7 @@
             Answer::Withdrawn => &mut counters.withdrawn,
         } += 1;
         self.job_of.remove(&session);
+        self.ids.remove(&job.request.id);
         peers.answer(session, answer);
         self.forget_if_done(id);
     }
@@ -477,14 +480,25 @@
     fn take(&mut self, session: SessionId, request: Request, since: Option<f64>) -> Result<(), String> {
         let name = flat(&request.category);
         let Some(category) = self.names.categories.iter().position(|known| *known == name) else {
-            return Err(statement::unknown_category(&name, &self.names.categories));
+            return Err(statement::unknown("op", &name, &self.names.categories));
         };
+        // Where there are tenants, engines err at what comes from none of them.
+        let (tenant, tenants) = (request.tenant.as_deref().map(flat), &self.names.tenants);
+        if let Some(name) = tenant.filter(|name| !tenants.is_empty() && !tenants.contains(name)) {
+            return Err(statement::unknown("org", &name, tenants));
+        }
+        // The first job under an id keeps its one answer.
+        if self.desk.ids.contains(&request.id) {
+            return Err(statement::id_in_use(&request.id));
+        }
         let receipted = matches!(self.desk.deployment.categories[category].effect, Effect::Receipted { .. });
         if receipted && request.receipt.is_none() {
             return Err(statement::no_receipt(&name));
         }
         let now = self.desk.now;
-        let gives_up = since.unwrap_or(now) + request.patience;
+        // No client is to wait for longer, whatever it says: what is learned of usual ones would be upset.
+        let longest = self.desk.deployment.categories[category].longest;
+        let gives_up = since.unwrap_or(now) + request.patience.min(longest);
         let cut_off = gives_up.min(self.stops_at);
         let id = self.next_job;
         self.next_job += 1;
@@ -498,6 +512,7 @@
         };
         let state = JobState::Open { session };
         let job = Job { request, state, cut_off, lane: 1, grant_mb: 0.0, pushes: Vec::new() };
+        self.desk.ids.insert(job.request.id.clone());
         self.desk.jobs.insert(id, job);
         self.desk.job_of.insert(session, id);
         self.desk.counters.taken += 1;
@@ -556,6 +571,7 @@
         }
         self.desk.counters.module_panics += 1;
         self.desk.jobs.clear();
+        self.desk.ids.clear();
         self.desk.later.clear();
         self.desk.due.clear();
         self.seed = self.seed.wrapping_add(1);
--- a/crates/router/src/routing/tests.rs
+++ b/crates/router/src/routing/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use cleatgw::{Category, Kind, Reach};
+use std::sync::atomic::{AtomicU64, Ordering};
 
 #[derive(Default)]
 struct Scripted {
@@ -53,9 +54,11 @@
     Event { number, list: Some((whole, entries)) }
 }
 
+/// Each with an id of its own.
 fn request(category: &str) -> Request {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
     Request {
-        id: "9b1f03aa5c7e2d41".to_string(),
+        id: format!("{:016x}", NEXT.fetch_add(1, Ordering::Relaxed)),
         category: category.to_string(),
         patience: 2.0,
         work: Some(0.05),
@@ -72,6 +75,7 @@
             credit: 1.0,
             late_share: 0.0,
             expected_time: 1.0,
+            longest: 30.0,
             stretch: 1.0,
             threads: 1.0,
             effect: Effect::Pure,
@@ -94,7 +98,8 @@
         };
         // The third is named and not described: taking one makes the decisions fail.
         let categories = ["look", "load", "broken"].map(String::from).to_vec();
-        let names = Names { categories, kinds: vec!["std".to_string()], ..Names::default() };
+        let tenants = vec!["town".to_string()];
+        let names = Names { categories, tenants, kinds: vec!["std".to_string()], ..Names::default() };
         let routing = Routing::new(deployment, names, 7, 100.0);
         let mut host = Host { routing, peers: Scripted::default(), now: 100.0, unusable: Vec::new() };
         host.turn(News { lists: vec![list(1, true, vec![entry("a", 1), entry("b", 2)])], ..News::default() });
@@ -234,6 +239,46 @@
     assert!(words[1].contains("dedupe: expected"), "{words:?}");
     host.ask(6, Request { receipt: Some("5c".to_string()), ..request("load") });
     assert_eq!((host.unusable.len(), host.peers.pushes.len()), (2, 1));
+    host.ask(7, Request { tenant: Some("nobody".to_string()), ..request("look") });
+    assert!(host.unusable[2].1.contains("org: expected one of town"), "{:?}", host.unusable);
+    host.ask(8, Request { tenant: Some("town".to_string()), ..request("look") });
+    assert_eq!((host.unusable.len(), host.peers.pushes.len()), (3, 2));
+    host.adds_up();
+}
+
+#[test]
+fn an_id_that_is_open_is_refused_to_others_and_free_again_after_its_answer() {
+    let mut host = Host::new();
+    let first = request("look");
+    host.ask(4, first.clone());
+    host.ask(5, Request { statement: b"SELECT 2".to_vec(), ..first.clone() });
+    assert!(host.unusable[0].1.contains("call: expected an id that is not in use"), "{:?}", host.unusable);
+    host.end(done());
+    assert!(matches!(host.peers.answers[..], [(4, Answer::Delivered(_))]));
+    // As a client asks again whose request crossed a close.
+    host.ask(6, first.clone());
+    host.turn(News { withdrawn: vec![6], ..News::default() });
+    host.ask(7, first);
+    assert_eq!((host.unusable.len(), host.peers.pushes.len()), (1, 3));
+    host.adds_up();
+}
+
+#[test]
+fn a_client_that_says_it_waits_for_a_day_makes_others_no_later() {
+    let mut host = Host::new();
+    host.ask(4, Request { patience: 80_000.0, ..request("look") });
+    host.ask(5, Request { patience: 28.0, work: Some(2.0), ..request("look") });
+    host.now += 0.01;
+    // Were all of its category measured by that day, this one would be long past its time.
+    host.turn(News::default());
+    assert!(host.peers.answers.is_empty());
+    host.now += 30.0;
+    host.turn(News::default());
+    assert_eq!(
+        (host.peers.answers.len(), host.routing.open()),
+        (2, 0),
+        "the day counts for as long as others"
+    );
 }
 
 #[test]
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -3,7 +3,7 @@
 use super::buffer::{Buffer, Reached};
 use crate::protocol::engine::{columns, rows, COLUMNS};
 use crate::protocol::mysql::{self, Command};
-use crate::protocol::statement::{self, Asked, Request, Value};
+use crate::protocol::statement::{self, Asked, Request};
 use crate::routing::{Answer, SessionId};
 use calloop::RegistrationToken;
 use std::io;
@@ -248,17 +248,6 @@
             Ok(Asked::Job(request)) => return self.wait(Heard::Asked(request)),
             Ok(Asked::Kill { session, query_only }) => return self.wait(Heard::Kill { session, query_only }),
             Ok(Asked::Harmless) => self.ok(),
-            Ok(Asked::Nothing) => self.rows(&["Variable_name".to_string(), "Value".to_string()], &[]),
-            Ok(Asked::Values(values)) => {
-                let (names, values): (Vec<String>, Vec<Value>) = values.into_iter().unzip();
-                let (id, longest) = (self.id, self.longest);
-                let text = |value| match value {
-                    Value::Text(text) => text,
-                    Value::SessionId => id.to_string(),
-                    Value::LongestPacket => longest.to_string(),
-                };
-                self.rows(&names, &values.into_iter().map(text).collect::<Vec<String>>());
-            }
             Err(why) => return self.wait(Heard::Unusable(why)),
         }
         None
@@ -269,12 +258,6 @@
         Some(heard)
     }
 
-    /// One row, or none where there are no values.
-    fn rows(&mut self, names: &[String], values: &[String]) {
-        let row = (!values.is_empty()).then(|| values.iter().map(String::as_bytes));
-        self.send(|out, sequence| mysql::result(out, sequence, names, row.into_iter()));
-    }
-
     /// Answers of the session's own, after which it is idle again.
     pub fn ok(&mut self) {
         self.idle(mysql::ok);
--- a/crates/router/tests/standins/mod.rs
+++ b/crates/router/tests/standins/mod.rs
@@ -264,7 +264,7 @@
     format!(
         r#"{{"name":"n1","listen":"{listen}","seed":"8c1f30d27a5be964","board":"{board}","known":{known},
         "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},
-        "settings":{{"balancers":1,"categories":[{categories}],"shapes":["std"],"zones":["east"],
+        "settings":{{"balancers":1,"tenants":[{{"name":"town"}}],"categories":[{categories}],"shapes":["std"],"zones":["east"],
         "family-info":{{"cores-by-kind":[8],"ram-of-kind-mb":[8192.0],"parallelism":[1,1,1],"largest-share":0.5,
         "grants-count":true,"takes-priority":true}},
         "limits":{{"cancel":true,"max-attempts":3,"retry-after":true,"max-retry-after-us":500000,
--- a/crates/router/tests/whole.rs
+++ b/crates/router/tests/whole.rs
@@ -64,16 +64,17 @@
     let engine = Engine::start("e");
     let (_board, router) = started(&[&engine]);
     let mut client = Client::new(&router);
-    let id = client.session.to_string();
-    assert_eq!(
-        client.ask("SELECT @@version_comment, CONNECTION_ID()"),
-        Answered::Rows(vec![format!("cleatgw,{id}")])
-    );
-    assert_eq!(client.ask("SHOW WARNINGS"), Answered::Rows(vec![]));
+    assert_eq!(client.ask("SET NAMES utf8mb4"), Answered::Ok);
     for (text, why) in [
         ("SELECT 1 FROM sales_17.t".to_string(), "no fields comment"),
+        // No engine made a result for these.
+        ("SELECT 1".to_string(), "no fields comment"),
+        ("SELECT @@version_comment LIMIT 1".to_string(), "no fields comment"),
+        ("SHOW WARNINGS".to_string(), "no fields comment"),
         (job("lok", 50, "x"), "field op: expected one of look load once"),
         (job("look", 50, "x").replace("ttl=50", "ttl=-1"), "field ttl"),
+        (job("look", 50, "x").replace("work=5.0", "work=nan"), "field work"),
+        (job("look", 50, "x").replace("ttl=50", "org=nobody,ttl=50"), "field org"),
         (job("load", 50, "x").replace("dedupe=", "dupe="), "field dedupe"),
         ("KILL QUERY 999999".to_string(), "unknown connection id"),
     ] {
@@ -82,7 +83,7 @@
     }
     assert_eq!(client.ask(&job("look", 5000, "x")), rows(1));
     let counters = client.counters("delivered", 1);
-    assert_eq!((counter(&counters, "taken"), counter(&counters, "unusable")), (1, 4));
+    assert_eq!((counter(&counters, "taken"), counter(&counters, "unusable")), (1, 9));
 }
 
 #[test]
@@ -109,8 +110,11 @@
     let engine = Engine::start("e");
     let (_board, router) = started(&[&engine]);
     let mut client = Client::new(&router);
-    client.send(&job("look", 20000, "hold"));
+    let text = job("look", 20000, "hold");
+    client.send(&text);
     engine.seen.wait("GET", 1);
+    let other = Client::new(&router).ask(&text.replace("hold", "x"));
+    assert!(matches!(other, Answered::Error(1064, words) if words.contains("an id that is not in use")));
     let mut killer = Client::new(&router);
     assert_eq!(killer.ask(&format!("KILL QUERY {}", client.session)), Answered::Ok);
     engine.seen.wait("DROP", 1);
--- a/crates/start/src/lib.rs
+++ b/crates/start/src/lib.rs
@@ -13,6 +13,7 @@
 #[derive(Default)]
 pub struct Names {
     pub categories: Vec<String>,
+    pub tenants: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
     pub columns: Vec<String>,
@@ -165,6 +166,9 @@
     let threads = pairs.numbers("family-info.parallelism")?;
     let holds = pairs.list("family-info.is-load");
     let waits = pairs.list("family-info.yields-to-loads");
+    for at in 0..pairs.count("tenants")? {
+        names.tenants.extend(pairs.text(&format!("tenants.{at}.name")).map(str::to_string));
+    }
     let mut categories = Vec::new();
     for at in 0..pairs.count("categories")? {
         let path = |key: &str| format!("categories.{at}.{key}");
@@ -191,6 +195,7 @@
             credit: pairs.number(&path("gain"), 1.0)?,
             late_share: pairs.number(&path("late-worth"), 0.0)?,
             expected_time: pairs.time(&path("objective-us"), 1.0)?,
+            longest: pairs.time(&path("hard-limit-us"), f64::INFINITY)?,
             stretch: pairs.number(&path("aim-stretch"), 0.0)?,
             threads: threads.get(at).copied().unwrap_or(1.0).max(1.0),
             effect,
@@ -263,7 +268,7 @@
             "family-info": {"parallelism": [1, 2], "is-load": [false, true], "cores-by-kind": [8],
                             "grants-count": true},
             "limits": {"max-attempts": 3, "conn-idle-us": 30000000, "multiplex": 100},
-            "tenants": [],
+            "tenants": [{"name": "town hall", "quota-per-s": 3.5}],
         });
         let words = "balancers=3 categories.count=2 categories.0.name=look_up categories.0.idempotency=safe \
             categories.0.objective-us=750000 categories.0.hard-limit-us=4000000 categories.1.name=load \
@@ -271,10 +276,11 @@
             categories.1.confined-to=room_a categories.1.hard-limit-us=20000000 zones=room_a,room_b shapes=std \
             family-info.parallelism=1,2 family-info.is-load=false,true family-info.cores-by-kind=8 \
             family-info.grants-count=true limits.max-attempts=3 limits.conn-idle-us=30000000 \
-            limits.multiplex=100 tenants=";
+            limits.multiplex=100 tenants.count=1 tenants.0.name=town_hall";
         let both = [Pairs::from_json(&json), Pairs::from_words(words)].map(|pairs| {
             let (deployment, names) = read(&pairs).unwrap();
             assert_eq!(names.categories, ["look_up", "load"]);
+            assert_eq!(names.tenants, ["town_hall"]);
             assert_eq!(names.zones, ["room_a", "room_b"]);
             assert_eq!(pairs.longest_job().unwrap(), Some(20.0));
             format!("{deployment:?} {:?}", pairs.link_limits().unwrap())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,6 +30,8 @@
     /// The share of the credit still earned after the expected time.
     pub late_share: f64,
     pub expected_time: f64,
+    /// How long a client waits at most.
+    pub longest: f64,
     /// How much longer it is expected to take for each second of its work on each thread.
     pub stretch: f64,
     pub threads: f64,
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -61,6 +61,7 @@
         credit,
         late_share: 0.0,
         expected_time: 2.0,
+        longest: f64::INFINITY,
         stretch: 2.0,
         threads,
         effect,
