A push given up is over when its engine has let go of it; before, a second copy could overtake

Checked: the log shows every further push made within the same millisecond as the DROP before it, on another connection (routing/mod.rs, decide: give_up, push_over and the next push in one turn). Two connections are read in any order, so the GET may be read first. Ruled out: pushes that wait for a connection, half-written ones, and two decisions in one turn. Now DROP is followed by PING under the same id; the end is told once FIT has come, or after 0.1 s, and until then routing counts the push as out. What is on a connection that we close is told 0.02 s later. With it, from reading: an answer that is begun and not whole within 0.5 s ends its connection (its pushes waited for their time-outs); second copies of DONE and pages end nothing (they ended the connection with all on it); a connection without a sign ends once its engine speaks on another one; engines are asked for a sign after 0.25 s instead of 0.5 s.

--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -69,8 +69,8 @@
     fn answer(&mut self, session: SessionId, answer: Answer);
     fn push(&mut self, push: PushId, engine: u64, address: SocketAddr, ask: &Ask);
     fn change_lane(&mut self, push: PushId, lane: u8);
-    /// Gives a push up, and tells how far it had come.
-    fn give_up(&mut self, push: PushId) -> Failure;
+    /// Gives a push up. How far it had come is news once its engine has let go of it, or had time to.
+    fn give_up(&mut self, push: PushId);
     /// Closes the connections to an engine that carry nothing.
     fn close_idle(&mut self, engine: u64);
 }
@@ -84,7 +84,13 @@
 }
 
 enum PushState {
-    Out { engine: usize, sent: f64, until: f64 },
+    /// Given up for that reason, it is out until its end has come.
+    Out {
+        engine: usize,
+        sent: f64,
+        until: f64,
+        given_up: Option<Ending>,
+    },
     Over,
 }
 
@@ -155,11 +161,17 @@
 }
 
 impl Desk {
-    /// Closes a push's state; tells its engine and how long it was out.
-    fn push_over(&mut self, push: PushId, ending: Ending) -> Option<(usize, f64)> {
+    /// Closes a push's state; tells how it ended, its engine, and how long it was out.
+    fn push_over(&mut self, push: PushId, ending: Ending) -> Option<(Ending, usize, f64)> {
         let job = self.jobs.get_mut(&push.job)?;
         let state = job.pushes.get_mut(push.number as usize)?;
-        let PushState::Out { engine, sent, until } = *state else { return None };
+        let PushState::Out { engine, sent, until, given_up } = *state else { return None };
+        // What never left is reported so, whatever it was given up for; so is an answer that was quicker.
+        let ending = match (given_up, ending) {
+            (Some(asked), Ending::Broken) => asked,
+            (Some(_), Ending::NeverSent) => Ending::Unreached,
+            (_, ending) => ending,
+        };
         *state = PushState::Over;
         self.due.remove(&(order(until), push));
         let counters = &mut self.counters;
@@ -173,15 +185,16 @@
             Ending::CalledOff => &mut counters.pushes_called_off,
             Ending::NeverSent => &mut counters.pushes_never_sent,
         } += 1;
-        Some((engine, (self.now - sent).max(0.0)))
+        Some((ending, engine, (self.now - sent).max(0.0)))
     }
 
-    /// Gives a push up: what never left is reported so, whatever it was given up for.
-    fn give_up(&mut self, push: PushId, ending: Ending, peers: &mut dyn Peers) -> Ending {
-        match peers.give_up(push) {
-            Failure::NeverSent | Failure::Refused => Ending::Unreached,
-            Failure::Sent | Failure::AnsweredInPart => ending,
-        }
+    /// Gives a push up; its end is news of a later turn.
+    fn give_up(&mut self, push: PushId, ending: Ending, peers: &mut dyn Peers) {
+        let state = self.jobs.get_mut(&push.job).and_then(|job| job.pushes.get_mut(push.number as usize));
+        let Some(PushState::Out { until, given_up: given_up @ None, .. }) = state else { return };
+        *given_up = Some(ending);
+        self.due.remove(&(order(*until), push));
+        peers.give_up(push);
     }
 
     /// The index of an engine that has gone, with nothing of ours left on it.
@@ -236,16 +249,10 @@
 impl Pen<'_> {
     /// Nothing more is done for a job that has its answer.
     fn end(&mut self, id: usize, answer: Answer) {
-        self.desk.pushes_out(id).into_iter().for_each(|push| self.give_up(push));
-        self.desk.answer(id, answer, self.peers);
-    }
-
-    /// Its end is news of the next turn.
-    fn give_up(&mut self, push: PushId) {
-        if self.desk.later.iter().all(|(given_up, _)| *given_up != push) {
-            let ending = self.desk.give_up(push, Ending::CalledOff, self.peers);
-            self.desk.later.push((push, ending));
+        for push in self.desk.pushes_out(id) {
+            self.desk.give_up(push, Ending::CalledOff, self.peers);
         }
+        self.desk.answer(id, answer, self.peers);
     }
 }
 
@@ -288,13 +295,13 @@
             desk.later.push((push, Ending::NeverSent));
         }
         let job = desk.jobs.get_mut(&id).expect("just seen");
-        job.pushes.push(PushState::Out { engine: at, sent: desk.now, until });
+        job.pushes.push(PushState::Out { engine: at, sent: desk.now, until, given_up: None });
     }
 
     fn call_off(&mut self, job: usize, number: u32) {
         let push = PushId { job, number };
-        if self.desk.deployment.call_off && self.desk.pushes_out(job).contains(&push) {
-            self.give_up(push);
+        if self.desk.deployment.call_off {
+            self.desk.give_up(push, Ending::CalledOff, self.peers);
         }
     }
 
@@ -421,8 +428,7 @@
         }
         while let Some(&(at, push)) = self.desk.due.first().filter(|(at, _)| *at <= order(self.desk.now)) {
             self.desk.due.remove(&(at, push));
-            let ending = self.desk.give_up(push, Ending::TimedOut, peers);
-            self.push_over(push, ending, None, peers);
+            self.desk.give_up(push, Ending::TimedOut, peers);
         }
         for (session, request) in news.asked {
             if let Err(why) = self.take(session, request, news.since) {
@@ -522,8 +528,8 @@
     }
 
     fn push_over(&mut self, push: PushId, ending: Ending, reply: Option<Reply>, peers: &mut dyn Peers) {
-        let Some((engine, spent)) = self.desk.push_over(push, ending) else {
-            self.desk.counters.answers_dropped += 1;
+        let Some((ending, engine, spent)) = self.desk.push_over(push, ending) else {
+            self.desk.counters.answers_dropped += u64::from(reply.is_some());
             return;
         };
         let mut told = None;
@@ -545,8 +551,7 @@
         self.desk.answer(job, Answer::Withdrawn, peers);
         self.gateway.job_withdrawn(job);
         for push in out {
-            let ending = self.desk.give_up(push, Ending::CalledOff, peers);
-            self.push_over(push, ending, None, peers);
+            self.desk.give_up(push, Ending::CalledOff, peers);
         }
     }
 
@@ -559,8 +564,8 @@
         let jobs: Vec<usize> = self.desk.jobs.keys().copied().collect();
         for id in jobs {
             for push in self.desk.pushes_out(id) {
-                let ending = self.desk.give_up(push, Ending::CalledOff, peers);
-                self.desk.push_over(push, ending);
+                self.desk.give_up(push, Ending::CalledOff, peers);
+                self.desk.push_over(push, Ending::Broken);
             }
             self.desk.answer(id, Answer::Terminated, peers);
         }
--- a/crates/router/src/routing/tests.rs
+++ b/crates/router/src/routing/tests.rs
@@ -9,6 +9,8 @@
     pushes: Vec<(PushId, u64, String)>,
     answers: Vec<(SessionId, Answer)>,
     given_up: Vec<PushId>,
+    /// Ends of what was given up: news of the next turn.
+    leaving: Vec<(PushId, Outcome)>,
     lanes: Vec<u8>,
     /// What giving up reports.
     how_far: Option<Failure>,
@@ -24,9 +26,9 @@
     fn change_lane(&mut self, _push: PushId, lane: u8) {
         self.lanes.push(lane);
     }
-    fn give_up(&mut self, push: PushId) -> Failure {
+    fn give_up(&mut self, push: PushId) {
         self.given_up.push(push);
-        self.how_far.unwrap_or(Failure::Sent)
+        self.leaving.push((push, Err(self.how_far.unwrap_or(Failure::Sent))));
     }
     fn close_idle(&mut self, _engine: u64) {}
 }
@@ -106,7 +108,8 @@
         host
     }
 
-    fn turn(&mut self, news: News) -> f64 {
+    fn turn(&mut self, mut news: News) -> f64 {
+        news.ends.append(&mut self.peers.leaving);
         let (unusable, wake) = self.routing.turn(self.now, news, &mut self.peers);
         self.unusable.extend(unusable);
         wake
@@ -181,6 +184,41 @@
     host.adds_up();
 }
 
+#[test]
+fn no_other_push_goes_out_before_the_end_of_one_that_was_given_up() {
+    let mut host = Host::new();
+    host.ask(4, Request { patience: 20.0, ..request("look") });
+    while host.peers.given_up.is_empty() {
+        host.now += 0.1;
+        host.turn(News::default());
+    }
+    // The engine has not said yet that it has let go of it.
+    let leaving = std::mem::take(&mut host.peers.leaving);
+    host.now += 0.05;
+    host.turn(News::default());
+    assert_eq!((host.peers.pushes.len(), host.peers.answers.len()), (1, 0));
+    host.turn(News { ends: leaving, ..News::default() });
+    assert_eq!(host.peers.pushes.len(), 2);
+    assert_eq!(host.routing.counters().pushes_timed_out, 1);
+    host.end(done());
+    assert_eq!(host.peers.answers.len(), 1);
+    host.adds_up();
+}
+
+#[test]
+fn an_answer_that_crosses_its_giving_up_is_delivered_while_its_job_is_open() {
+    let mut host = Host::new();
+    host.ask(4, Request { patience: 20.0, ..request("look") });
+    while host.peers.given_up.is_empty() {
+        host.now += 0.1;
+        host.turn(News::default());
+    }
+    host.peers.leaving.clear();
+    host.end(done());
+    assert!(matches!(host.peers.answers[..], [(4, Answer::Delivered(_))]));
+    host.adds_up();
+}
+
 #[test]
 fn a_job_withdrawn_in_the_turn_it_came_in_is_never_pushed() {
     let mut host = Host::new();
@@ -225,6 +263,7 @@
     host.ask(4, Request { patience: 0.5, ..request("look") });
     host.now = 100.5;
     host.turn(News::default());
+    host.turn(News::default());
     let counters = host.routing.counters();
     assert_eq!((counters.pushes_timed_out, counters.pushes_unreached), (0, 1));
 }
--- a/crates/router/src/transport/engine.rs
+++ b/crates/router/src/transport/engine.rs
@@ -18,8 +18,12 @@
 /// of them it takes nothing new.
 const MOST_GIVEN_UP: usize = 1000;
 /// An engine with pushes out that has given no sign for so long is asked for one.
-const QUIET: f64 = 0.5;
+const QUIET: f64 = 0.25;
 const SIGN: &str = "sign";
+/// What was given up is over when its engine has read so, which its next sign tells, or at the latest after this.
+const LETS_GO: f64 = 0.1;
+/// An answer that has begun to come is whole within this, or never.
+const UNFINISHED: f64 = 0.5;
 /// An idle connection is left alone so much of its time before its engine would close it.
 const IDLE_CAUTION: f64 = 0.9;
 
@@ -30,6 +34,12 @@
     pages: Option<Pages>,
 }
 
+struct Leaving {
+    push: PushId,
+    failure: Failure,
+    until: f64,
+}
+
 enum State {
     Connecting { until: f64 },
     Up,
@@ -46,6 +56,8 @@
     waiting: Vec<(String, PushId, Vec<u8>)>,
     exchanges: HashMap<String, Exchange>,
     given_up: HashSet<String>,
+    /// Given up, but its engine may not know yet.
+    leaving: HashMap<String, Leaving>,
     put: u64,
     written: u64,
     readable: bool,
@@ -53,8 +65,14 @@
     /// When its engine last gave a sign, and when it was asked for one since.
     heard_at: f64,
     asked_at: Option<f64>,
+    /// When its engine last said something, which a connection that merely came up does not prove.
+    spoke_at: f64,
+    /// It was begun to see whether its engine is there.
+    pub is_trial: bool,
     /// It has been found to give no sign.
     pub known_mute: bool,
+    /// Since when the input has begun with an answer that is not whole.
+    begun_at: Option<f64>,
     pub answers_dropped: u64,
 }
 
@@ -63,6 +81,8 @@
     Closed,
     /// Neither a sign nor a new connection could be had.
     Vanished,
+    /// It gives no sign, and another connection does.
+    Dead,
     Io(io::Error),
     Malformed(&'static str),
 }
@@ -71,6 +91,7 @@
     fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
         match self {
             Broken::Closed => to.write_str("closed by the engine"),
+            Broken::Dead => to.write_str("its engine answers on others only"),
             Broken::Vanished => to.write_str("its machine is gone"),
             Broken::Io(error) => error.fmt(to),
             Broken::Malformed(words) => write!(to, "malformed answer: {words}"),
@@ -108,13 +129,17 @@
             waiting: Vec::new(),
             exchanges: HashMap::new(),
             given_up: HashSet::new(),
+            leaving: HashMap::new(),
             put: 0,
             written: 0,
             readable: false,
             idle_since: until,
             heard_at: until,
             asked_at: None,
+            spoke_at: 0.0,
+            is_trial: false,
             known_mute: false,
+            begun_at: None,
             answers_dropped: 0,
         }
     }
@@ -147,19 +172,34 @@
     /// Asks for a sign of its engine, if none has come for long and pushes wait there.
     pub fn ask(&mut self, now: f64) -> io::Result<()> {
         if self.up() && self.asked_at.is_none() && self.carries() > 0 && now > self.heard_at + QUIET {
-            self.asked_at = Some(now);
-            self.say(|out| engine::ping(out, SIGN))?;
+            self.ask_now(now)?;
         }
         Ok(())
     }
 
+    fn ask_now(&mut self, now: f64) -> io::Result<()> {
+        self.asked_at = Some(now);
+        self.say(|out| engine::ping(out, SIGN))
+    }
+
+    /// It gives no sign, though its engine has spoken elsewhere since it should have: nothing more comes of it.
+    pub fn dead_beside(&self, other: &Link, stated: &LinkLimits) -> bool {
+        let due = self.asked_at.map_or(f64::INFINITY, |asked| asked + stated.connect_time_out);
+        self.known_mute
+            && (self.engine, self.address) == (other.engine, other.address)
+            && other.spoke_at > due
+    }
+
     /// When it must be looked at, whatever comes.
     pub fn due(&self, idle_after: f64) -> f64 {
-        match self.state {
+        let due = match self.state {
             State::Connecting { until } => until,
             State::Up if self.carries() == 0 => self.idle_since + idle_after * IDLE_CAUTION,
             State::Up => f64::INFINITY,
-        }
+        };
+        let leaving = self.leaving.values().map(|leaving| leaving.until);
+        let unfinished = self.begun_at.map(|begun| begun + UNFINISHED);
+        leaving.chain(unfinished).fold(due, f64::min)
     }
 
     pub fn push(&mut self, push: PushId, ask: &engine::Ask, now: f64) -> io::Result<()> {
@@ -210,19 +250,39 @@
         self.say(|out| engine::lane(out, &id, lane))
     }
 
-    /// Gives a push up; tells how far it had come.
-    pub fn give_up(&mut self, push: PushId, now: f64) -> (Failure, io::Result<()>) {
+    /// Gives a push up. Where another connection's words may overtake ours, the engine would run two at once: so
+    /// it is over once the engine has answered what was said behind.
+    pub fn give_up(&mut self, push: PushId, now: f64, ends: &mut Vec<(PushId, Outcome)>) -> io::Result<()> {
         if let Some(at) = self.waiting.iter().position(|(_, waiting, _)| *waiting == push) {
             self.waiting.remove(at);
-            return (Failure::NeverSent, Ok(()));
+            ends.push((push, Err(Failure::NeverSent)));
+            return Ok(());
         }
         let Some((id, exchange)) = self.id_of(push).and_then(|id| self.exchanges.remove_entry(&id)) else {
-            return (Failure::Sent, Ok(()));
+            return Ok(());
         };
-        let said = self.say(|out| engine::give_up(out, &id));
-        self.given_up.insert(id);
+        let failure = if exchange.pages.is_some() { Failure::AnsweredInPart } else { Failure::Sent };
+        self.leaving.insert(id.clone(), Leaving { push, failure, until: now + LETS_GO });
         self.idle_since = now;
-        (if exchange.pages.is_some() { Failure::AnsweredInPart } else { Failure::Sent }, said)
+        let said = self.say(|out| {
+            engine::give_up(out, &id);
+            engine::ping(out, &id);
+        });
+        self.given_up.insert(id);
+        said
+    }
+
+    /// Tells of what its engine has had time to let go of; an answer that is still not whole is none.
+    pub fn time_passed(&mut self, now: f64, ends: &mut Vec<(PushId, Outcome)>) -> Result<(), Broken> {
+        self.leaving.retain(|_, leaving| {
+            let over = now >= leaving.until;
+            ends.extend(over.then_some((leaving.push, Err(leaving.failure))));
+            !over
+        });
+        match self.begun_at {
+            Some(begun) if now >= begun + UNFINISHED => Err(Malformed("an answer that does not end").into()),
+            _ => Ok(()),
+        }
     }
 
     /// Reads what is ready; pushes that ended go into `ends`.
@@ -238,6 +298,9 @@
                 return Ok(());
             }
             (self.state, self.heard_at) = (State::Up, now);
+            if self.is_trial {
+                self.ask_now(now)?;
+            }
             self.send_waiting(now)?;
         }
         self.flush()?;
@@ -248,10 +311,12 @@
         let before = self.buffer.input().len();
         let reached = self.buffer.read(&*self.stream, MOST_INPUT)?;
         if self.buffer.input().len() > before {
-            (self.heard_at, self.asked_at, self.known_mute) = (now, None, false);
+            (self.heard_at, self.spoke_at, self.asked_at, self.known_mute) = (now, now, None, false);
         }
         self.readable = reached == Reached::More;
         self.answers(now, ends)?;
+        let begun = !self.buffer.input().is_empty();
+        self.begun_at = begun.then(|| self.begun_at.unwrap_or(now));
         self.flush()?;
         if reached == Reached::End {
             return Err(Broken::Closed);
@@ -270,6 +335,9 @@
             let mut asks = Vec::new();
             if matches!(answer.word, Word::Fit | Word::Other) {
                 // A sign of life, which `work` has noted, or news that is of no use here.
+                let said = answer.word == Word::Fit;
+                let let_go = said.then(|| self.leaving.remove(answer.id)).flatten();
+                ends.extend(let_go.map(|leaving| (leaving.push, Err(leaving.failure))));
             } else if let Some(exchange) = self.exchanges.get_mut(answer.id) {
                 let outcome = match answer.word {
                     Word::Done if exchange.pages.is_none() => {
@@ -279,6 +347,8 @@
                         pages.others().for_each(|number| engine::page(&mut asks, answer.id, number));
                         pages.whole().map(|rows| Reply::Done { rows, told: pages.told })
                     }
+                    // A second copy, whose pages are under way.
+                    Word::Done => None,
                     Word::More => {
                         let missing = Malformed("a page before the first");
                         let pages = exchange.pages.as_mut().ok_or(missing)?;
@@ -307,6 +377,7 @@
                 self.answers_dropped += 1;
             }
             self.buffer.taken(taken);
+            self.begun_at = None;
             if !asks.is_empty() {
                 self.put(&asks);
             }
@@ -315,6 +386,7 @@
 
     /// The connection is over; so is all that was open on it, as far as it had come.
     pub fn over(self, ends: &mut Vec<(PushId, Outcome)>) {
+        ends.extend(self.leaving.into_values().map(|leaving| (leaving.push, Err(leaving.failure))));
         for exchange in self.exchanges.into_values() {
             let failure = match exchange.pages {
                 Some(_) => Failure::AnsweredInPart,
--- a/crates/router/src/transport/links.rs
+++ b/crates/router/src/transport/links.rs
@@ -5,10 +5,13 @@
 use crate::protocol::engine::Ask;
 use crate::routing::{Counters, Failure, Outcome, PushId};
 use cleatgw_start::LinkLimits;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 
+/// By then an engine has seen that a connection was closed.
+const CLOSE_SEEN: f64 = 0.02;
+
 pub struct Links {
     handle: Handle,
     links: HashMap<u64, Link>,
@@ -17,6 +20,8 @@
     stated: LinkLimits,
     /// Pushes that ended: news of the next turn.
     ends: Vec<(PushId, Outcome)>,
+    /// Ends on connections that we closed: news once their engines have had time to see it.
+    later: VecDeque<(f64, PushId, Outcome)>,
     link_of: HashMap<PushId, u64>,
     counters: Counters,
 }
@@ -30,6 +35,7 @@
             most: most.max(1),
             stated,
             ends: Vec::new(),
+            later: VecDeque::new(),
             link_of: HashMap::new(),
             counters: Counters::default(),
         }
@@ -52,7 +58,7 @@
         self.link_of.insert(push, id);
         let link = self.links.get_mut(&id).expect("just found");
         if let Err(error) = link.push(push, ask, now) {
-            self.broken(id, Broken::Io(error));
+            self.broken(id, Broken::Io(error), now);
         }
     }
 
@@ -64,7 +70,7 @@
     }
 
     fn open(&mut self, engine: u64, address: SocketAddr, now: f64) -> Result<u64, Failure> {
-        if self.links.len() >= self.most && !self.make_room() {
+        if self.links.len() >= self.most && !self.make_room(now) {
             self.counters.descriptors_short += 1;
             return Err(Failure::NeverSent);
         }
@@ -90,19 +96,26 @@
     }
 
     /// Closes a connection that carries nothing.
-    fn make_room(&mut self) -> bool {
+    fn make_room(&mut self, now: f64) -> bool {
         let idle = self.links.iter().find(|(_, link)| link.carries() == 0).map(|(&id, _)| id);
-        idle.map(|id| self.close(id)).is_some()
+        idle.map(|id| self.close(id, now)).is_some()
+    }
+
+    /// Closes a connection; what was on it is given up with it, which its engine is yet to see.
+    fn close(&mut self, id: u64, now: f64) {
+        let mut ends = Vec::new();
+        self.closed(id, &mut ends);
+        self.later.extend(ends.into_iter().map(|(push, outcome)| (now + CLOSE_SEEN, push, outcome)));
     }
 
-    fn close(&mut self, id: u64) {
+    fn closed(&mut self, id: u64, ends: &mut Vec<(PushId, Outcome)>) {
         let Some(link) = self.links.remove(&id) else { return };
         self.handle.remove(link.token);
         self.counters.answers_dropped += link.answers_dropped;
-        link.over(&mut self.ends);
+        link.over(ends);
     }
 
-    fn broken(&mut self, id: u64, why: Broken) {
+    fn broken(&mut self, id: u64, why: Broken, now: f64) {
         let Some(link) = self.links.get(&id) else { return };
         let level = match why {
             Broken::Malformed(_) => {
@@ -118,12 +131,19 @@
         };
         log::log!(level, "connection to {}: {why}, with {} pushes", link.address, link.carries());
         let (engine, address, up) = (link.engine, link.address, link.up());
-        self.close(id);
+        match why {
+            Broken::Closed | Broken::Io(_) => {
+                let mut ends = std::mem::take(&mut self.ends);
+                self.closed(id, &mut ends);
+                self.ends = ends;
+            }
+            Broken::Malformed(_) | Broken::Vanished | Broken::Dead => self.close(id, now),
+        }
         // No sign on the old ones, and no new one comes up: the machine is gone, and its answers with it.
         if !up && matches!(&why, Broken::Io(error) if error.kind() == ErrorKind::TimedOut) {
             let mute = |link: &Link| link.engine == engine && link.address == address && link.known_mute;
             let mute = self.links.iter().filter(|(_, link)| mute(link)).map(|(&id, _)| id);
-            mute.collect::<Vec<_>>().into_iter().for_each(|id| self.broken(id, Broken::Vanished));
+            mute.collect::<Vec<_>>().into_iter().for_each(|id| self.broken(id, Broken::Vanished, now));
         }
     }
 
@@ -133,19 +153,19 @@
         let worked = guarded("a connection to an engine", || link.work(readable, now, ends));
         match worked {
             Some(Ok(())) => {}
-            Some(Err(why)) => self.broken(id, why),
+            Some(Err(why)) => self.broken(id, why, now),
             None => {
                 self.counters.panics += 1;
-                self.close(id);
+                self.close(id, now);
             }
         }
     }
 
     /// A push could not be made: the connection that it was on ends, and it may have gone out.
-    pub fn failed(&mut self, push: PushId) {
+    pub fn failed(&mut self, push: PushId, now: f64) {
         self.counters.panics += 1;
         match self.link_of.get(&push) {
-            Some(&id) => self.close(id),
+            Some(&id) => self.close(id, now),
             None => self.ends.push((push, Err(Failure::NeverSent))),
         }
     }
@@ -156,13 +176,18 @@
         let due: Vec<u64> =
             self.links.iter().filter(|(_, link)| now >= link.due(idle)).map(|(&id, _)| id).collect();
         for id in due {
-            let connecting = self.links.get(&id).is_some_and(|link| !link.up());
-            if connecting {
+            let Some(link) = self.links.get_mut(&id) else { continue };
+            if !link.up() {
                 self.work(id, false, now);
-            } else {
-                self.close(id);
+            } else if let Err(why) = link.time_passed(now, &mut self.ends) {
+                self.broken(id, why, now);
+            } else if now >= link.due(idle) {
+                self.close(id, now);
             }
         }
+        while self.later.front().is_some_and(|(at, ..)| now >= *at) {
+            self.ends.extend(self.later.pop_front().map(|(_, push, outcome)| (push, outcome)));
+        }
     }
 
     /// Asks engines that are silent for a sign. Where none comes, a new connection shows whether the machine is
@@ -172,20 +197,30 @@
             let Some(link) = self.links.get_mut(&id) else { continue };
             if !link.mute(&self.stated, now) {
                 if let Err(error) = link.ask(now) {
-                    self.broken(id, Broken::Io(error));
+                    self.broken(id, Broken::Io(error), now);
                 }
             } else if link.carries() == 0 {
-                self.close(id);
+                self.close(id, now);
             } else if !std::mem::replace(&mut link.known_mute, true) {
                 log::info!("connection to {}: gives no sign, with {} pushes", link.address, link.carries());
                 let (engine, address) = (link.engine, link.address);
-                let _ = self.open(engine, address, now);
+                let tried = |link: &Link| {
+                    (link.engine, link.address) == (engine, address) && link.is_trial && !link.known_mute
+                };
+                if !self.links.values().any(tried) {
+                    let trial = self.open(engine, address, now).ok().and_then(|id| self.links.get_mut(&id));
+                    trial.into_iter().for_each(|trial| trial.is_trial = true);
+                }
             }
         }
+        let dead = |link: &Link| self.links.values().any(|other| link.dead_beside(other, &self.stated));
+        let dead = self.links.iter().filter(|(_, link)| dead(link)).map(|(&id, _)| id).collect::<Vec<_>>();
+        dead.into_iter().for_each(|id| self.broken(id, Broken::Dead, now));
     }
 
     pub fn due(&self) -> f64 {
-        self.links.values().map(|link| link.due(self.stated.idle_after)).fold(f64::INFINITY, f64::min)
+        let later = self.later.front().map_or(f64::INFINITY, |&(at, ..)| at);
+        self.links.values().map(|link| link.due(self.stated.idle_after)).fold(later, f64::min)
     }
 
     /// Hands over the pushes that ended.
@@ -200,35 +235,26 @@
         !self.ends.is_empty()
     }
 
-    pub fn give_up(&mut self, push: PushId, now: f64) -> Failure {
-        // It may have ended just now, in a way that the next turn will tell.
-        if let Some(at) = self.ends.iter().position(|(ended, _)| *ended == push) {
-            self.link_of.remove(&push);
-            return match self.ends.remove(at).1 {
-                Err(failure) => failure,
-                Ok(_) => Failure::AnsweredInPart,
-            };
-        }
-        let Some(id) = self.link_of.remove(&push) else { return Failure::NeverSent };
-        let Some(link) = self.links.get_mut(&id) else { return Failure::Sent };
-        let (failure, written) = link.give_up(push, now);
-        if let Err(error) = written {
-            self.broken(id, Broken::Io(error));
+    /// Its end is news of a later turn, if it has not come already.
+    pub fn give_up(&mut self, push: PushId, now: f64) {
+        let Some(&id) = self.link_of.get(&push) else { return };
+        let given_up = self.links.get_mut(&id).map(|link| link.give_up(push, now, &mut self.ends));
+        if let Some(Err(error)) = given_up {
+            self.broken(id, Broken::Io(error), now);
         }
-        failure
     }
 
-    pub fn change_lane(&mut self, push: PushId, lane: u8) {
+    pub fn change_lane(&mut self, push: PushId, lane: u8, now: f64) {
         let Some(&id) = self.link_of.get(&push) else { return };
         let changed = self.links.get_mut(&id).map(|link| link.change_lane(push, lane));
         if let Some(Err(error)) = changed {
-            self.broken(id, Broken::Io(error));
+            self.broken(id, Broken::Io(error), now);
         }
     }
 
-    pub fn close_idle(&mut self, engine: u64) {
+    pub fn close_idle(&mut self, engine: u64, now: f64) {
         let idle = self.links.iter().filter(|(_, link)| link.engine == engine && link.carries() == 0);
-        idle.map(|(&id, _)| id).collect::<Vec<_>>().into_iter().for_each(|id| self.close(id));
+        idle.map(|(&id, _)| id).collect::<Vec<_>>().into_iter().for_each(|id| self.close(id, now));
     }
 
     pub fn unfinished(&self) -> impl Iterator<Item = Source> + '_ {
@@ -241,3 +267,189 @@
         Counters { links_open: self.links.len() as u64, answers_dropped, ..self.counters.clone() }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use calloop::EventLoop;
+    use std::io::{Read, Write};
+    use std::net::{TcpListener, TcpStream};
+
+    const STATED: LinkLimits = LinkLimits { connect_time_out: 0.25, idle_after: 30.0, pushes_each: 100 };
+
+    /// Connections to one engine, whose side is played by the story, on the story's clock.
+    struct Story {
+        _turns: EventLoop<'static, super::super::Ready>,
+        links: Links,
+        listener: TcpListener,
+        address: SocketAddr,
+        now: f64,
+    }
+
+    fn push(job: usize) -> PushId {
+        PushId { job, number: 0 }
+    }
+
+    impl Story {
+        fn new() -> Story {
+            let turns = EventLoop::try_new().unwrap();
+            let links = Links::new(&turns.handle(), STATED, 40);
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            let address = listener.local_addr().unwrap();
+            Story { _turns: turns, links, listener, address, now: 100.0 }
+        }
+
+        fn push(&mut self, job: usize) {
+            let id = format!("{job:016x}");
+            let ask = Ask {
+                id: &id,
+                category: "look",
+                wait: 9.0,
+                receipt: None,
+                grant_mb: 0.0,
+                lane: 1,
+                statement: b"x",
+            };
+            self.links.push(push(job), 1, self.address, &ask, self.now);
+        }
+
+        /// The engine's side of the next connection, with what is said on it first.
+        fn accepted(&mut self, first: &str) -> TcpStream {
+            let mut far = self.listener.accept().unwrap().0;
+            self.hears(&mut far, first);
+            far
+        }
+
+        /// Works until the engine has read these words.
+        fn hears(&mut self, far: &mut TcpStream, words: &str) {
+            let mut text = String::new();
+            far.set_read_timeout(Some(std::time::Duration::from_millis(5))).unwrap();
+            for _ in 0..2000 {
+                self.work();
+                let mut bytes = [0; 4096];
+                let read = far.read(&mut bytes).unwrap_or(0);
+                text.push_str(std::str::from_utf8(&bytes[..read]).unwrap());
+                if text.contains(words) {
+                    return;
+                }
+            }
+            panic!("{words:?} is not in {text:?}");
+        }
+
+        fn work(&mut self) {
+            for id in self.links.links.keys().copied().collect::<Vec<_>>() {
+                self.links.work(id, true, self.now);
+            }
+            self.links.time_passed(self.now);
+        }
+
+        /// The ends that have come once the engine has said this.
+        fn says(&mut self, far: &mut TcpStream, words: &str, ends: usize) -> Vec<(usize, Outcome)> {
+            far.write_all(words.as_bytes()).unwrap();
+            let mut ended = Vec::new();
+            for _ in 0..2000 {
+                self.work();
+                self.links.ended(&mut ended);
+                if ended.len() >= ends {
+                    break;
+                }
+                std::thread::sleep(std::time::Duration::from_millis(1));
+            }
+            ended.into_iter().map(|(push, outcome)| (push.job, outcome)).collect()
+        }
+
+        fn ends(&mut self) -> Vec<(usize, Outcome)> {
+            self.work();
+            let mut ended = Vec::new();
+            self.links.ended(&mut ended);
+            ended.into_iter().map(|(push, outcome)| (push.job, outcome)).collect()
+        }
+    }
+
+    fn answer(job: usize, word: &str, fields: &str, body: &str) -> String {
+        format!("{job:016x} {word} {fields} {}\r\n{body}\r\n", body.len())
+    }
+
+    fn done() -> Outcome {
+        Ok(crate::routing::Reply::Done { rows: b"a\tb\tc\n".to_vec(), told: None })
+    }
+
+    #[test]
+    fn what_is_given_up_is_over_when_its_engine_has_read_so_or_has_had_time_to() {
+        let mut story = Story::new();
+        story.push(1);
+        let mut far = story.accepted("GET");
+        story.push(2);
+        story.links.give_up(push(1), story.now);
+        story.hears(&mut far, &format!("DROP {:016x}\r\nPING {:016x}\r\n", 1, 1));
+        assert_eq!(story.ends(), [], "the engine may not have read it yet");
+        let ends = story.says(&mut far, &answer(1, "FIT", "-", ""), 1);
+        assert_eq!(ends, [(1, Err(Failure::Sent))]);
+        story.links.give_up(push(2), story.now);
+        // An answer that crosses it is none.
+        far.write_all(answer(2, "DONE", "-", "a\tb\tc\n").as_bytes()).unwrap();
+        story.now += 0.09;
+        assert_eq!(story.ends(), []);
+        story.now += 0.02;
+        assert_eq!(story.ends(), [(2, Err(Failure::Sent))]);
+        assert!(story.links.due() > story.now, "nothing is left to wait for");
+    }
+
+    #[test]
+    fn an_answer_that_stops_short_ends_its_connection_and_is_told_once_the_engine_sees_it() {
+        let mut story = Story::new();
+        story.push(1);
+        let mut far = story.accepted("GET");
+        story.push(2);
+        far.write_all(&answer(1, "DONE", "-", "a\tb\tc\n").as_bytes()[..30]).unwrap();
+        story.hears(&mut far, "GET");
+        story.now += 0.45;
+        assert_eq!(story.ends(), []);
+        assert!(story.links.due() <= story.now + 0.06);
+        story.now += 0.06;
+        assert_eq!(story.ends(), [], "its engine may run them yet");
+        assert_eq!((story.links.links.len(), story.links.counters.links_malformed), (0, 1));
+        story.now += 0.03;
+        let mut ends = story.ends();
+        ends.sort_by_key(|(job, _)| *job);
+        assert_eq!(ends, [(1, Err(Failure::Sent)), (2, Err(Failure::Sent))]);
+    }
+
+    #[test]
+    fn second_copies_and_answers_under_unknown_ids_end_nothing() {
+        let mut story = Story::new();
+        story.push(1);
+        let mut far = story.accepted("GET");
+        let (row, first) = ("a\tb\tc\n", answer(1, "DONE", "parts=3", "a\tb\tc\n"));
+        let page = |number: usize| answer(1, "MORE", &format!("part_no={number}"), row);
+        let words = [answer(9, "DONE", "-", row), first.clone(), first, page(2), page(2), page(1), page(1)];
+        let ends = story.says(&mut far, &words.concat(), 1);
+        let whole = crate::routing::Reply::Done { rows: row.repeat(3).into_bytes(), told: None };
+        assert_eq!(ends, [(1, Ok(whole))]);
+        story.push(2);
+        assert_eq!(story.says(&mut far, &answer(2, "DONE", "-", row), 1), [(2, done())]);
+        assert_eq!((story.links.links.len(), story.links.counters.links_malformed), (1, 0));
+    }
+
+    #[test]
+    fn a_connection_without_a_sign_ends_once_its_engine_speaks_on_another() {
+        let mut story = Story::new();
+        story.push(1);
+        let mut far = story.accepted("GET");
+        story.now += 0.3;
+        story.links.sweep(story.now);
+        story.hears(&mut far, "PING sign");
+        story.now += 0.3;
+        story.links.sweep(story.now);
+        let mut other = story.accepted("PING sign");
+        story.links.sweep(story.now);
+        assert_eq!(story.ends(), [], "a connection that came up is no sign");
+        story.now += 0.01;
+        story.says(&mut other, "sign FIT - 0\r\n\r\n", 0);
+        story.work();
+        story.links.sweep(story.now);
+        story.now += 0.03;
+        assert_eq!(story.ends(), [(1, Err(Failure::Sent))]);
+        assert_eq!(story.links.links.len(), 1, "the other goes on");
+    }
+}
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::protocol::board::Event;
 use crate::protocol::engine::Ask;
-use crate::routing::{Answer, Counters, Failure, News, Peers, PushId, Routing, SessionId};
+use crate::routing::{Answer, Counters, News, Peers, PushId, Routing, SessionId};
 use board::BoardLink;
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
@@ -27,7 +27,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Sessions and links are looked over so often for what has stalled.
-const SWEEP: f64 = 0.25;
+const SWEEP: f64 = 0.05;
 /// The loop turns at least so often, so that it can tell when it had no turn.
 const BEAT: f64 = 0.02;
 /// After a planned stop, requests come for this long, and the router is killed so long after its longest job.
@@ -143,20 +143,20 @@
     fn push(&mut self, push: PushId, engine: u64, address: SocketAddr, ask: &Ask) {
         let Net { links, now, .. } = self;
         if guarded("a push", || links.push(push, engine, address, ask, *now)).is_none() {
-            links.failed(push);
+            links.failed(push, *now);
         }
     }
 
     fn change_lane(&mut self, push: PushId, lane: u8) {
-        self.links.change_lane(push, lane);
+        self.links.change_lane(push, lane, self.now);
     }
 
-    fn give_up(&mut self, push: PushId) -> Failure {
+    fn give_up(&mut self, push: PushId) {
         self.links.give_up(push, self.now)
     }
 
     fn close_idle(&mut self, engine: u64) {
-        self.links.close_idle(engine);
+        self.links.close_idle(engine, self.now);
     }
 }
 
