Time-outs leave time to come in time elsewhere, and the next push goes to another engine

Half of the second pushes went to the same engine. Ruled out: lateness of the router (0.1 ms), held jobs (18 of 4339). Also catches: dead connections, silent and slow engines. May hurt where call-offs stop no work: there only engines in doubt have time-outs, as before. Test: a_light_job_that_stands_still_goes_elsewhere_before_its_expected_time.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -526,7 +526,7 @@
         let (sent, quarter) = (push.sent, push.quarter);
         let category = &self.given.categories[job.taken.category];
         let (threads, key) = (category.threads, job.taken.key);
-        // Where work is neither told nor estimated, the time it took is the safe side for a cold engine.
+        // Where work is neither told nor estimated, the time it took is safe for a cold engine.
         let guess = if job.taken.cost.is_some() { job.work } else { end.spent * threads };
         let (work, memory) = end.told.unwrap_or((guess, job.memory));
         let learned = &mut self.learned[job.taken.category];
@@ -733,8 +733,7 @@
         let mut open: Vec<usize> = self.home_order(group).to_vec();
         // So many of the first fitting are weighed: in a larger fleet a hot group is more for one engine.
         let few = (open.len() / 3).clamp(2, 3);
-        // A job that holds its tables keeps to the far half of the order while it has time, off its readers,
-        // and these keep clear of our peers' holders, as the order is the same everywhere.
+        // A job that holds its tables keeps to the order's far half while it has time, clear of its readers.
         let category = &self.given.categories[self.jobs[&id].taken.category];
         if category.holds_tables {
             open.reverse();
@@ -748,25 +747,25 @@
         // Behind a holder of ours it would only stand still, and keep its memory.
         open.retain(|at| self.may_push(id, *at, now) && !(stalls && engine(at).holding.contains(&group)));
         let trust = Doubt::TRUST * open.iter().map(|at| engine(at).doubt.mean()).fold(0.0, f64::max);
-        // One light job at a time, and one a draw, tries out an engine in doubt: whatever ails it (dead,
-        // silent, failing, slow), fast failures must not draw in job after job.
+        // One light job at a time, and one a draw, tries an engine in doubt: failures must not draw in more.
         let tries = |engine: &EngineState| light && engine.pushes == 0 && engine.doubt.drawn >= trust;
         open.retain(|at| engine(at).doubt.mean() >= trust || tries(engine(at)));
         open.retain(|at| self.has_room(id, *at, light));
-        // Among many gateways ours are mostly none: those of our peers decide then, and chance after them.
+        // What stood in its way may stand there still. Where ours are none, our peers' decide, then chance.
+        let been = |at: &usize| self.jobs[&id].pushes.iter().any(|push| push.engine == *at);
         self.draws += 1;
         let key = |at: &&usize| {
             let threads =
                 [engine(at).threads / engine(at).cores, engine(at).room.peers.with(self.belief, 1.0)];
-            (threads.map(rank), mix((self.seed, self.draws, at)))
+            (been(at), threads.map(rank), mix((self.seed, self.draws, at)))
         };
         let fitting = open.iter().filter(|at| engine(at).ledger.fits(grant, now)).take(few);
         let choice = fitting.min_by_key(key);
         let room = |at: &usize| engine(at).ledger.limit - engine(at).ledger.granted;
         let roomiest = open.iter().filter(|at| engine(at).ledger.fits(least, now));
         let roomiest = roomiest.max_by(|a, b| room(a).total_cmp(&room(b)));
-        let choice = choice.map(|&at| (at, grant, quarter));
-        let choice = choice.or(roomiest.map(|&at| (at, least, quarter || least < grant)));
+        let least = roomiest.map(|&at| (at, least, quarter || least < grant));
+        let choice = choice.map(|&at| (at, grant, quarter)).or(least);
         let Some((at, grant, quarter)) = choice else {
             let waits = (!open.is_empty()).then_some(now);
             let job = self.jobs.get_mut(&id).expect("a held job");
@@ -787,8 +786,7 @@
         // Reports lag: no gateway takes more than twice its share. Without any, most may come from one.
         let ours = (engine.threads + threads) / engine.cores;
         let share = (2.0 / self.given.gateways).max(if engine.room.tells { 0.0 } else { 0.6 });
-        // Where we hold nothing, nothing is told: a light job finds out, unless all gateways' would fill it.
-        // What was felt of peers in a slow spell kept us off sound engines for long.
+        // Where we hold nothing, nothing is told, and a slow spell is felt for long: a light job finds out.
         let finds_out = light && engine.pushes == 0 && self.given.gateways * threads <= engine.cores;
         finds_out
             || (engine.pushes == 0 || ours <= share * limit)
@@ -966,7 +964,9 @@
     fn patience(&self, job: &Job) -> f64 {
         let scatter = self.learned[job.taken.category].work_by_cost.scatter;
         let outgrown = job.taken.cost.map_or(2.0, |_| scatter.or(0.5).exp());
-        0.4 + 2.0 * outgrown * self.run_time(job)
+        // What is no work is allowed for by the deployment's own pace: seconds were too long for a quick one.
+        let quick = self.given.categories.iter().map(|category| category.expected_time).fold(0.8, f64::min);
+        0.5 * quick + 2.0 * outgrown * self.run_time(job)
     }
 
     fn last_start(&self, job: &Job) -> f64 {
@@ -981,7 +981,7 @@
             return None;
         }
         let (run, left) = (self.run_time(job), job.taken.cut_off - now);
-        let wait = (2.0 * self.patience(job)).max(job.expected_at - now - 1.5 * run);
+        let wait = (2.8 * run).max(job.expected_at - now - 3.0 * run);
         (wait + run < left && job.pushes.len() + 1 < self.given.most_pushes as usize).then_some(wait)
     }
 
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -16,6 +16,8 @@
 pub struct Book {
     pub wrote: Vec<(f64, Wrote)>,
     pub log: Vec<String>,
+    /// Of each push.
+    pub time_outs: Vec<Option<f64>>,
     now: f64,
     terms: (u8, f64),
 }
@@ -30,7 +32,8 @@
     fn terms(&mut self, _job: usize, lane: u8, memory_mb: f64) {
         self.terms = (lane, memory_mb);
     }
-    fn push(&mut self, job: usize, engine: usize, _time_out: Option<f64>) {
+    fn push(&mut self, job: usize, engine: usize, time_out: Option<f64>) {
+        self.time_outs.push(time_out);
         let (lane, grant) = self.terms;
         self.note(Wrote::Push { job, engine, grant, lane });
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -347,6 +347,29 @@
     assert_ne!(world.engines_of(later).last(), Some(&silent));
 }
 
+#[test]
+fn a_light_job_that_stands_still_goes_elsewhere_before_its_expected_time() {
+    // Whatever it stands behind: a holder of its tables, a lost answer, a dead engine. Quick and slow deployments.
+    for pace in [0.2, 1.0] {
+        let mut deployment = plain();
+        deployment.call_off = true;
+        deployment.categories.iter_mut().for_each(|category| category.expected_time = pace);
+        for seed in 0..8 {
+            let mut world = World::seeded(deployment.clone(), 3, seed);
+            let job = world.job(0, |taken| taken.cost = Some(0.05 * pace));
+            world.round();
+            let wait = world.book.time_outs[0].expect("a time-out");
+            let (expected, run) = (1.1 * pace, 0.075 * pace);
+            assert!((2.0 * run..expected - 2.0 * run).contains(&wait), "{wait} s of {expected} s");
+            world.now += wait;
+            world.over(job, Ending::TimedOut, wait);
+            world.round();
+            let engines = world.engines_of(job);
+            assert!(engines.len() == 2 && engines[0] != engines[1], "{engines:?}");
+        }
+    }
+}
+
 #[test]
 fn a_spill_where_grants_are_honoured_is_no_pressure() {
     for trims in [false, true] {
