Who dawdles is closed 2.5 s after it began and makes room first; a silent board is asked sooner

Ruled out by the probe's log: clients refused by their first packet. Now login and each packet have 2.5 s from their first moment; what has begun and not come on for 0.5 s makes room first, then the longest idle, last what has only just begun; a session with a whole packet waiting is never closed for room; an answer that nobody reads is dropped after 10 s instead of 30. board.rs: 2.5 s of silence, 1 s to connect and 0.25 s between tries could pass the 4 s after which a stopped board's events count as told; now 1.8, 0.5 and 0.1 s.

--- a/crates/router/src/transport/board.rs
+++ b/crates/router/src/transport/board.rs
@@ -9,10 +9,11 @@
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
-/// Each second has a line: after so many without one the link is taken for lost.
-const SILENT: f64 = 2.5;
-const CONNECT: f64 = 1.0;
-const RETRY: f64 = 0.25;
+/// Each second has a line: after so many without one the link is taken for lost. With a connection that does not come
+/// up and another one, that is well within the 4 s after which a silent board's events count as told.
+const SILENT: f64 = 1.8;
+const CONNECT: f64 = 0.5;
+const RETRY: f64 = 0.1;
 
 enum State {
     Down { retry_at: f64 },
@@ -188,6 +189,32 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::io::Write;
+
+    #[test]
+    fn a_board_that_stops_is_asked_again_well_before_its_events_count_as_told() {
+        let turns: calloop::EventLoop<super::super::Ready> = calloop::EventLoop::try_new().unwrap();
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut link = BoardLink::new(Some(address), 3, 1000, 100.0);
+        let wire = || super::super::connect(&turns.handle(), address, super::super::Source::Board).unwrap();
+        link.connecting(Some(wire()), 100.0);
+        let (mut board, _) = listener.accept().unwrap();
+        board.write_all(b"3\n").unwrap();
+        while !matches!(link.state, State::Up { .. }) || link.away {
+            link.work(true, 100.0, &mut Vec::new()).unwrap();
+        }
+        // It says nothing more; the next connection does not come up, the one after that does.
+        let silent = link.due();
+        assert_eq!(link.work(false, silent, &mut Vec::new()), Err("silent".to_string()));
+        link.lost("silent", silent);
+        let again = link.due();
+        assert_eq!(link.wants_connection(again), Some(address));
+        link.connecting(Some(wire()), again);
+        let failed = link.due();
+        link.lost("no connection came up", failed);
+        assert!(link.due() < 100.0 + 3.0, "{}", link.due());
+    }
 
     #[test]
     fn events_are_applied_once_in_order_and_a_gap_is_asked_for_once() {
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -10,10 +10,14 @@
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
 
-/// How long a client may take to log in, to take a byte of its answer, or to close after its last one.
-const LOGIN: f64 = 10.0;
-const STALLED: f64 = 30.0;
+/// How long a client may take from connecting to being logged in, from a packet's first byte to its last, to take
+/// a byte of its answer, and to close after its last one.
+const LOGIN: f64 = 2.5;
+const PACKET: f64 = 2.5;
+const STALLED: f64 = 10.0;
 const CLOSING: f64 = 1.0;
+/// What has begun and not come further for so long is closed for room before any other.
+const DAWDLES: f64 = 0.5;
 /// So many packets are taken in one turn.
 const PACKETS: usize = 16;
 
@@ -57,6 +61,8 @@
     pub malformed: bool,
     /// When it last did something.
     pub since: f64,
+    /// When its login, the packet that is coming in, or its closing began.
+    begun_at: Option<f64>,
 }
 
 fn random() -> [u8; 20] {
@@ -90,6 +96,7 @@
             closes_after: false,
             malformed: false,
             since: now,
+            begun_at: Some(now),
         };
         session.send(|out, _| mysql::greeting(out, id, random()));
         session
@@ -103,23 +110,35 @@
         self.state == State::Waiting
     }
 
-    /// It may be closed without loss: no request is open on it, and nothing is left to write.
-    pub fn spare(&self) -> bool {
+    /// No request is open on it, and nothing is left to write.
+    fn at_rest(&self) -> bool {
         matches!(self.state, State::Login | State::Idle | State::Closing) && self.buffer.unsent() == 0
     }
 
+    /// It may be closed without loss: it is at rest, and no whole packet of a client's waits for its turn.
+    pub fn spare(&self) -> bool {
+        self.at_rest() && (self.state != State::Idle || !self.cut_short)
+    }
+
     pub fn unsent(&self) -> usize {
         self.buffer.unsent()
     }
 
     /// More may be ready than was read or taken: no readiness will tell of it again.
     pub fn reads_on(&self) -> bool {
-        (self.readable || self.cut_short) && self.spare()
+        (self.readable || self.cut_short) && self.at_rest()
     }
 
-    /// How little would be lost with it: nothing that has begun to come in, and the longest idle first.
-    pub fn worth(&self) -> (bool, f64) {
-        (!self.buffer.input().is_empty(), self.since)
+    /// How little would be lost with it: what has begun and does not go on, then the longest idle, and last what
+    /// has only just begun. So strangers that connect and say nothing, or half of something, go before clients
+    /// that have asked and keep their connection.
+    pub fn worth(&self, now: f64) -> (u8, f64) {
+        let class = match self.begun_at {
+            Some(begun) if now > begun + DAWDLES => 0,
+            Some(_) => 2,
+            None => 1,
+        };
+        (class, self.since)
     }
 
     pub fn ready(&mut self, readable: bool, now: f64) {
@@ -128,20 +147,20 @@
     }
 
     pub fn sweep(&mut self, now: f64) {
-        let waited = now - self.since;
+        // Counted from the beginning of each, so that a byte now and then does not keep it open.
         let limit = match self.state {
             State::Login => LOGIN,
             State::Closing => CLOSING,
-            _ if self.buffer.unsent() > 0 => STALLED,
-            _ => f64::INFINITY,
+            _ => PACKET,
         };
-        if waited > limit {
+        let late = self.begun_at.is_some_and(|begun| now > begun + limit);
+        if late || self.buffer.unsent() > 0 && now > self.since + STALLED {
             self.state = State::Closed;
         }
     }
 
     /// Writes what is left, reads what is ready and takes it apart, up to the next request.
-    pub fn work(&mut self, serving: bool) -> io::Result<Option<Heard>> {
+    pub fn work(&mut self, serving: bool, now: f64) -> io::Result<Option<Heard>> {
         self.flush()?;
         if self.readable && !self.ended {
             match self.buffer.read(&*self.stream, self.longest + mysql::HEADER)? {
@@ -171,10 +190,11 @@
             };
             let (sequence, body) = (packet.sequence, packet.body.to_vec());
             if !serving && self.state == State::Idle && mysql::command(&body) == Ok(Command::Ping) {
-                self.cut_short = false;
+                (self.cut_short, self.begun_at) = (false, None);
                 return Ok(None);
             }
             self.buffer.taken(mysql::HEADER + body.len());
+            self.begun_at = self.begun_at.filter(|_| self.state == State::Login);
             self.sequence = sequence.wrapping_add(1);
             let read = match self.state {
                 State::Login if sequence == 1 => self.login(&body).map(|()| None),
@@ -187,12 +207,17 @@
             });
             self.flush()?;
         }
+        self.begun_at = match self.state {
+            State::Idle if self.buffer.input().is_empty() || self.cut_short => None,
+            State::Idle | State::Login | State::Closing => self.begun_at.or(Some(now)),
+            State::Waiting | State::Closed => None,
+        };
         if self.state == State::Closing {
             // What it still sends is not read any more; its end is awaited, so that it can read our last answer.
             let length = self.buffer.input().len();
             self.buffer.taken(length);
         }
-        if self.ended && !self.cut_short && heard.is_none() && self.spare() {
+        if self.ended && !self.cut_short && heard.is_none() && self.at_rest() {
             self.state = State::Closed;
         }
         Ok(heard)
@@ -211,7 +236,7 @@
 
     /// No more is read; the session ends when its last answer is written.
     fn close_after(&mut self) {
-        self.state = State::Closing;
+        (self.state, self.begun_at) = (State::Closing, None);
         if self.buffer.unsent() == 0 {
             let _ = self.stream.shutdown(Shutdown::Write);
         }
--- a/crates/router/src/transport/sessions.rs
+++ b/crates/router/src/transport/sessions.rs
@@ -83,7 +83,7 @@
     pub fn accept(&mut self, now: f64) {
         self.accepts = true;
         for _ in 0..ACCEPTED {
-            if self.paused || self.sessions.len() >= self.most && !self.make_room() {
+            if self.paused || self.sessions.len() >= self.most && !self.make_room(now) {
                 return;
             }
             match self.listener.accept() {
@@ -98,7 +98,7 @@
                 }
                 Err(error) if out_of_descriptors(&error) => {
                     self.counters.descriptors_short += 1;
-                    self.paused = !self.make_room();
+                    self.paused = !self.make_room(now);
                 }
                 Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
                 Err(error) => {
@@ -126,10 +126,10 @@
     }
 
     /// Closes the session that has been idle for longest; none may be.
-    fn make_room(&mut self) -> bool {
+    fn make_room(&mut self, now: f64) -> bool {
         let spare = self.sessions.iter().filter(|(_, session)| session.spare());
         let least = spare.min_by(|a, b| {
-            let (a, b) = (a.1.worth(), b.1.worth());
+            let (a, b) = (a.1.worth(now), b.1.worth(now));
             a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
         });
         let Some(id) = least.map(|(&id, _)| id) else { return false };
@@ -149,7 +149,7 @@
         if readiness.readable || readiness.writable {
             session.ready(readiness.readable, now);
         }
-        let worked = guarded("a session", || session.work(serving));
+        let worked = guarded("a session", || session.work(serving, now));
         let mut closed = session.closed();
         if session.reads_on() {
             self.again.push(id);
--- a/crates/router/tests/whole.rs
+++ b/crates/router/tests/whole.rs
@@ -252,6 +252,46 @@
     assert!(counter(&counters, "descriptors_short") == 0 && counter(&counters, "sessions_open") <= 32);
 }
 
+#[test]
+fn who_dawdles_is_closed_soon_and_who_asked_once_may_stay() {
+    let engine = Engine::start("e");
+    let (_board, router) = started(&[&engine]);
+    let mut stays = Client::new(&router);
+    assert_eq!(stays.ask(&job("look", 5000, "x")), rows(1));
+    let begun = Instant::now();
+    let mut silent = Client::early(&router, &[]);
+    let mut half = Client::new(&router);
+    half.stream.write_all(&query("SELECT")[..5]).unwrap();
+    // A byte now and then keeps nothing open.
+    let mut trickles = Client::early(&router, &[]);
+    let mut far = trickles.stream.try_clone().unwrap();
+    std::thread::spawn(move || {
+        while far.write_all(&[1]).is_ok() {
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    });
+    assert!(silent.closed() && half.closed() && trickles.closed());
+    assert!(begun.elapsed() < GENEROUS / 2, "{:?}", begun.elapsed());
+    assert_eq!(stays.ask(&job("look", 5000, "x")), rows(1));
+}
+
+#[test]
+fn strangers_that_say_nothing_make_room_before_clients_that_have_asked() {
+    let engine = Engine::start("e");
+    let (_board, router) = limited(&[&engine], 64);
+    let mut stay: Vec<Client> = (0..8).map(|_| Client::new(&router)).collect();
+    let half = &login()[..9];
+    for _ in 0..2 {
+        let _silent: Vec<Client> = (0..23).map(|_| Client::early(&router, half)).collect();
+        // By now they dawdle.
+        std::thread::sleep(Duration::from_millis(700));
+        let _more: Vec<Client> = (0..23).map(|_| Client::early(&router, half)).collect();
+        for client in &mut stay {
+            assert_eq!(client.ask(&job("look", 5000, "x")), rows(1));
+        }
+    }
+}
+
 #[test]
 fn what_is_asked_while_the_router_stands_still_is_answered_in_its_clients_time() {
     let engine = Engine::start("e");
