Doubt is kept by category too; time-outs follow the median pace of late

Checked with a log of each push: two of five engines answered WAIT to loads alone for ten seconds, each after 0.194 s; 134 loads spent their three pushes there and were turned back. Doubt was one figure an engine, fed mostly by other categories (logic.rs, push_over: Full counted for nothing, TimedOut only where nothing else was answered since). Ruled out: memory (grants fit), sessions (others entered). Now Doubt has evidence of each category's own beside it, which decides once a category fares a fifth worse. It should also catch plans, schemas or quotas that fail on one engine for one kind of job. It may hurt under overload, where time-outs differ by chance: hence the fifth, and the next part. Tests: what_strikes_one_category..., when_everything_is_slower...; both fail without.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -168,8 +168,7 @@
     }
 }
 
-/// What is told against what was estimated, as a line through their logarithms: rough estimates scatter, and
-/// the far ones lie further off than the truth. Taken as they are, large ones were turned back for nothing.
+/// What is told against estimates, as a line through logarithms: far ones lie further off than the truth.
 #[derive(Clone, Copy, Default)]
 struct Fit {
     /// Count, x, y, xx and xy.
@@ -189,8 +188,7 @@
         self.sums.iter_mut().zip(values).for_each(|(sum, value)| *sum = *sum * 0.99 + value);
     }
 
-    /// What is granted over the guess, so that few jobs outgrow it and spill: a little memory more costs less
-    /// than their work done over. By the scatter seen, and at first as if it were large.
+    /// What is granted over the guess, by the scatter seen (at first as if large): few are to spill.
     fn headroom(&self) -> f64 {
         (1.7 * self.scatter.with(1.2, 3.0)).exp().min(1.6)
     }
@@ -220,7 +218,6 @@
 }
 
 impl Learned {
-    /// How much longer a job takes with a quarter of its memory.
     fn spill_factor(&self) -> f64 {
         let known = self.quarter_pace.weight.min(self.pace.weight) >= 3.0;
         let ratio = self.quarter_pace.or(2.0) / self.pace.or(1.0);
@@ -232,10 +229,11 @@
     }
 }
 
-/// Evidence on whether an engine answers well, faded each tick.
+/// Evidence on whether an engine answers well, faded each tick; some troubles strike only one category.
 #[derive(Default)]
 struct Doubt {
     good: Mean,
+    own: Vec<Mean>,
     doubted: bool,
     /// The present draw: made anew each tick, spent by a trial.
     drawn: f64,
@@ -246,14 +244,23 @@
     const KEEP: f64 = 0.9576;
     const TRUST: f64 = 0.75;
 
-    fn add(&mut self, good: f64, bad: f64) {
-        self.good.add(good / (good + bad), good + bad, 1.0);
+    /// What is bad for its category need not be so for the engine.
+    fn add(&mut self, category: usize, good: f64, bad: f64, bad_for_own: f64) {
+        self.own.resize(self.own.len().max(category + 1), Mean::default());
+        (self.good.sum, self.good.weight) = (self.good.sum + good, self.good.weight + good + bad);
+        self.own[category].add(good / (good + bad_for_own).max(1e-9), good + bad_for_own, 1.0);
     }
 
     fn mean(&self) -> f64 {
         self.good.with(2.0, 2.1)
     }
 
+    /// As for all until a category fares a fifth worse; that of all counts for three of its own.
+    fn mean_for(&self, category: usize) -> f64 {
+        let own = self.own.get(category).map_or(1.0, |own| own.with(3.0 * self.mean(), 3.0));
+        self.mean().min(1.25 * own)
+    }
+
     /// A draw from the posterior, by its mean and spread.
     fn draw(&mut self, chance: f64) {
         let mean = self.mean();
@@ -266,8 +273,7 @@
 #[derive(Default)]
 struct Room {
     limit: f64,
-    /// The threads per core of our peers there, as its reports tell, or else the pace of its answers. Both
-    /// are late and noisy: only their mean, which may pass below zero, is told apart from our own pushes.
+    /// Our peers' threads per core there, by reports or the pace of answers: only their mean is told, late.
     peers: Mean,
     tells: bool,
 }
@@ -375,6 +381,8 @@
     due: BTreeSet<(u64, Due)>,
     taken_at: VecDeque<f64>,
     repeats: VecDeque<f64>,
+    /// The median pace of late, over all engines.
+    median: f64,
     density: Mean,
     threads_each: Mean,
     /// Threads per core of our peers on all engines that told of late; what is believed of the others.
@@ -446,9 +454,7 @@
             return order.clone();
         }
         let ready = self.ready().map(|engine| (mix((engine.at.name_hash, group)), engine.at.engine));
-        let mut order: Vec<(u64, usize)> = ready.collect();
-        order.sort_unstable();
-        let order: Rc<[usize]> = order.into_iter().map(|(_, at)| at).collect();
+        let order: Rc<[usize]> = ready.collect::<BTreeSet<_>>().into_iter().map(|(_, at)| at).collect();
         self.orders.insert(group, order.clone());
         order
     }
@@ -477,9 +483,7 @@
         let density = category.credit / work.max(1e-3);
         self.density.add(density, work, 0.995);
         let job = Job { taken, work, memory, density, expected_at, ..Job::default() };
-        if let Some(key) = taken.key {
-            self.keys.entry(key).or_default().jobs.push_back(id);
-        }
+        taken.key.into_iter().for_each(|key| self.keys.entry(key).or_default().jobs.push_back(id));
         self.held.insert(job.turn(id));
         self.jobs.insert(id, job);
         self.time_ends(id, self.stop);
@@ -524,51 +528,52 @@
         push.out = false;
         push.never_ran = end.ending.never_ran();
         let (sent, quarter) = (push.sent, push.quarter);
-        let category = &self.given.categories[job.taken.category];
-        let (threads, key) = (category.threads, job.taken.key);
+        let (category, key) = (job.taken.category, job.taken.key);
+        let threads = self.given.categories[category].threads;
         // Where work is neither told nor estimated, the time it took is safe for a cold engine.
         let guess = if job.taken.cost.is_some() { job.work } else { end.spent * threads };
         let (work, memory) = end.told.unwrap_or((guess, job.memory));
-        let learned = &mut self.learned[job.taken.category];
+        let learned = &mut self.learned[category];
         // A gateway without a turn for a while cannot tell when answers came: their times are no evidence.
         let stalled = now > self.next_tick + TICK;
         let pace = if stalled { learned.pace() } else { end.spent * threads / work.max(1e-3) };
         if let Some(engine) = self.engines.get_mut(end.engine) {
             // The jobs that it tells of have as many threads each as ours; else pace is about threads a core.
             let others =
-                end.load.jobs.map(|jobs| (jobs - f64::from(engine.pushes)) * self.threads_each.or(1.0));
+                end.load.jobs.map(|all| (all - f64::from(engine.pushes)) * self.threads_each.or(1.0));
             let ran = matches!(end.ending, Ending::Delivered | Ending::TimedOut | Ending::CalledOff);
             let felt = Room::USUAL * pace.min(8.0) * engine.cores - engine.threads;
             let felt = Some(felt).filter(|_| ran && !quarter && !stalled && self.given.gateways > 1.0);
             engine.room.tells |= others.is_some();
+            self.median = self.median.max(0.5) * if pace > self.median { 1.04 } else { 0.96 };
             if let Some(threads) = others.or(felt) {
                 engine.room.peers.add(threads / engine.cores, 1.0, 0.8);
                 self.crowd.add(threads / engine.cores, 1.0, 0.9);
             }
-            if end.load.memory_granted.is_some_and(|share| share >= 0.98) {
-                engine.ledger.press(now);
-            }
             if end.load.memory_waits.is_some_and(|waits| waits >= 1.0) {
                 engine.ledger.shrink(now);
             }
-            match end.ending {
-                Ending::Delivered => {
-                    // Slow against what the category takes elsewhere: a slow machine, a pause, a crowd.
-                    let slow = pace > 4.0 * learned.pace() && end.spent > 0.5;
-                    engine.doubt.add(1.0, if slow { 0.5 } else { 0.0 });
-                    engine.last_answer = now;
-                    engine.pace.add(pace, work, 0.9);
-                    let best = engine.best_pace.unwrap_or(pace).min(engine.pace.or(pace)) * 1.001;
-                    engine.best_pace = Some(best);
-                    if engine.pace.or(1.0) > 2.5 * best {
-                        engine.ledger.press(now);
-                    }
-                }
-                Ending::Full => engine.ledger.press(now),
-                Ending::Unreached => engine.doubt.add(0.0, 3.0),
-                Ending::Erred | Ending::Broken => engine.doubt.add(0.0, 1.0),
-                Ending::TimedOut if engine.last_answer < sent => engine.doubt.add(0.0, 1.0),
-                _ => {}
+            let (good, bad, own) = match end.ending {
+                // Slow against what the category takes elsewhere: a slow machine, a pause, a crowd.
+                Ending::Delivered if pace > 4.0 * learned.pace() && end.spent > 0.5 => (1.0, 0.5, 0.5),
+                Ending::Delivered => (1.0, 0.0, 0.0),
+                Ending::Unreached => (0.0, 3.0, 3.0),
+                Ending::Erred | Ending::Broken => (0.0, 1.0, 1.0),
+                Ending::TimedOut if engine.last_answer < sent => (0.0, 1.0, 1.0),
+                // Others were answered since: one category's answers are lost, or it stands behind a holder.
+                Ending::TimedOut | Ending::Full => (0.0, 0.0, 1.0),
+                _ => (0.0, 0.0, 0.0),
+            };
+            engine.doubt.add(category, good, bad, own);
+            if good > 0.0 {
+                engine.last_answer = now;
+                engine.pace.add(pace, work, 0.9);
+                engine.best_pace = Some(engine.best_pace.unwrap_or(pace).min(engine.pace.or(pace)) * 1.001);
+            }
+            let slowed = engine.best_pace.is_some_and(|best| good > 0.0 && engine.pace.or(1.0) > 2.5 * best);
+            let granted = end.load.memory_granted.is_some_and(|share| share >= 0.98);
+            if slowed || granted || end.ending == Ending::Full {
+                engine.ledger.press(now);
             }
         }
         if end.ending == Ending::Delivered {
@@ -605,8 +610,7 @@
         let push = &job.pushes[index];
         let category = &self.given.categories[job.taken.category];
         if let Some(engine) = self.engines.get_mut(push.engine) {
-            engine.threads -= category.threads;
-            engine.pushes -= 1;
+            (engine.threads, engine.pushes) = (engine.threads - category.threads, engine.pushes - 1);
             let held = engine.holding.iter().position(|&group| group == job.taken.table_group);
             held.filter(|_| category.holds_tables).map(|at| engine.holding.swap_remove(at));
             engine.ledger.granted = (engine.ledger.granted - push.grant).max(0.0);
@@ -656,7 +660,8 @@
             engine.ledger.tick(now);
             let pushes = f64::from(engine.pushes);
             self.threads_each.add(engine.threads / pushes.max(1.0), pushes, 0.99);
-            engine.doubt.good.fade(Doubt::KEEP);
+            let Doubt { good, own, .. } = &mut engine.doubt;
+            own.iter_mut().chain([good]).for_each(|mean| mean.fade(Doubt::KEEP));
             self.draws += 1;
             engine.doubt.draw((mix((self.seed, self.draws)) >> 11) as f64 / (1u64 << 53) as f64);
             let used = engine.threads / engine.cores.max(1.0) + engine.room.peers.with(self.belief, 1.0);
@@ -676,9 +681,8 @@
         }
         let window = self.repeat_budget().window.max(1.0);
         // Tables that clients' groups and keys fill are kept small.
-        if self.orders.len() > 1000 {
-            self.orders.clear();
-        }
+        let few = self.orders.len() <= 1000;
+        self.orders.retain(|_, _| few);
         self.keys.retain(|_, line| !line.jobs.is_empty() || now < line.rests_until);
         self.taken_at.retain(|&at| at >= now - window);
         self.repeats.retain(|&at| at >= now - window);
@@ -737,8 +741,7 @@
         let category = &self.given.categories[self.jobs[&id].taken.category];
         if category.holds_tables {
             open.reverse();
-            let slack = self.last_start(&self.jobs[&id]) - now;
-            let far = slack > self.run_time(&self.jobs[&id]);
+            let far = self.last_start(&self.jobs[&id]) - now > self.run_time(&self.jobs[&id]);
             open.truncate(if far { open.len().div_ceil(2) } else { open.len() });
         }
         let stalls = category.holds_tables || category.waits_for_holders;
@@ -746,17 +749,18 @@
         let engine = |at: &usize| &self.engines[*at];
         // Behind a holder of ours it would only stand still, and keep its memory.
         open.retain(|at| self.may_push(id, *at, now) && !(stalls && engine(at).holding.contains(&group)));
-        let trust = Doubt::TRUST * open.iter().map(|at| engine(at).doubt.mean()).fold(0.0, f64::max);
+        let mean = |at: &usize| engine(at).doubt.mean_for(self.jobs[&id].taken.category);
+        let trust = Doubt::TRUST * open.iter().map(mean).fold(0.0, f64::max);
         // One light job at a time, and one a draw, tries an engine in doubt: failures must not draw in more.
         let tries = |engine: &EngineState| light && engine.pushes == 0 && engine.doubt.drawn >= trust;
-        open.retain(|at| engine(at).doubt.mean() >= trust || tries(engine(at)));
+        open.retain(|at| mean(at) >= trust || tries(engine(at)));
         open.retain(|at| self.has_room(id, *at, light));
         // What stood in its way may stand there still. Where ours are none, our peers' decide, then chance.
         let been = |at: &usize| self.jobs[&id].pushes.iter().any(|push| push.engine == *at);
         self.draws += 1;
         let key = |at: &&usize| {
-            let threads =
-                [engine(at).threads / engine(at).cores, engine(at).room.peers.with(self.belief, 1.0)];
+            let Room { peers, .. } = &engine(at).room;
+            let threads = [engine(at).threads / engine(at).cores, peers.with(self.belief, 1.0)];
             (been(at), threads.map(rank), mix((self.seed, self.draws, at)))
         };
         let fitting = open.iter().filter(|at| engine(at).ledger.fits(grant, now)).take(few);
@@ -807,8 +811,7 @@
         self.due.insert((rank(now + patience), Due::Overdue(id, job.pushes.len() - 1)));
         let engine = self.engines.get_mut(at).expect("a listed engine");
         engine.doubt.drawn = 0.0;
-        engine.threads += category.threads;
-        engine.pushes += 1;
+        (engine.threads, engine.pushes) = (engine.threads + category.threads, engine.pushes + 1);
         engine.holding.extend(Some(job.taken.table_group).filter(|_| category.holds_tables));
         engine.ledger.granted += grant;
         engine.ledger.open += 1;
@@ -889,14 +892,11 @@
         }
         let cold = self.given.cold;
         let stands = cold.multiple * engine.cores * warmth * cold.window * COLD_CAUTION;
-        let sent =
-            engine.sent.iter().filter(|(at, _)| *at > now - cold.window).map(|(_, work)| work).sum::<f64>();
+        let sent: f64 = engine.sent.iter().filter(|push| push.0 > now - cold.window).map(|push| push.1).sum();
         let share = stands / self.given.gateways;
-        // Among many gateways no job fits a share: each draws once a window, likelier for smaller jobs,
-        // so that all together send about LOT of what the engine stands, in jobs of a quarter at most.
-        let drawn =
-            mix((self.seed, engine.at.name_hash, (now / cold.window) as u64)) as f64 / u64::MAX as f64;
-        let lot = if sent == 0.0 { (LOT * share / drawn).min(stands / 4.0) } else { 0.0 };
+        // Among many gateways no job fits a share: each draws once a window, and all send about LOT of it.
+        let draw = mix((self.seed, engine.at.name_hash, (now / cold.window) as u64)) as f64 / u64::MAX as f64;
+        let lot = if sent == 0.0 { (LOT * share / draw).min(stands / 4.0) } else { 0.0 };
         lot.max(share - sent)
     }
 
@@ -980,7 +980,8 @@
         if !self.given.call_off && self.engines[at].doubt.mean() > Doubt::TRUST {
             return None;
         }
-        let (run, left) = (self.run_time(job), job.taken.cut_off - now);
+        let slow = (self.median / self.learned[job.taken.category].pace()).max(1.0);
+        let (run, left) = (self.run_time(job) * slow, job.taken.cut_off - now);
         let wait = (2.8 * run).max(job.expected_at - now - 3.0 * run);
         (wait + run < left && job.pushes.len() + 1 < self.given.most_pushes as usize).then_some(wait)
     }
@@ -1008,7 +1009,7 @@
         let engine = self.engines.get_mut(push.engine);
         let silent = engine.filter(|engine| push.out && engine.last_answer < push.sent);
         let Some(engine) = silent else { return };
-        engine.doubt.add(0.0, 1.0);
+        engine.doubt.add(job.taken.category, 0.0, 1.0, 1.0);
         self.due.insert((rank(now + 2.0), Due::Overdue(id, index)));
         if self.given.call_off && !over && !push.called_off && engine.doubt.mean() < 0.5 {
             push.called_off = true;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -370,6 +370,59 @@
     }
 }
 
+#[test]
+fn what_strikes_one_category_on_one_engine_keeps_only_that_category_away() {
+    for ending in [Ending::TimedOut, Ending::Full] {
+        let mut deployment = plain();
+        deployment.call_off = true;
+        deployment.categories[1].threads = 1.0;
+        let mut world = World::new(deployment, 4);
+        let mut there = [0, 0];
+        for round in 0..300 {
+            // The others are answered, so the engine is not silent.
+            let jobs = [1, 1, 0].map(|category| {
+                let cost = Some(0.1 + category as f64);
+                (category, world.job(category, |taken| (taken.table_group, taken.cost) = (round, cost)))
+            });
+            world.round();
+            world.now += 0.1;
+            for (category, job) in jobs {
+                if world.engines_of(job) == [0] {
+                    there[category] += u32::from(round >= 150);
+                    if category == 0 {
+                        world.over(job, ending, 0.1);
+                        world.round();
+                    }
+                }
+                world.over(job, Ending::Delivered, 0.1 + category as f64);
+            }
+        }
+        assert!(there[0] < 30 && there[1] > 50, "{ending:?}: {there:?} of 150 and 300");
+    }
+}
+
+#[test]
+fn when_everything_is_slower_pushes_are_waited_for_longer() {
+    let mut deployment = plain();
+    deployment.call_off = true;
+    deployment.categories[0].expected_time = 0.2;
+    let mut world = World::new(deployment, 4);
+    let mut asked = |jobs: usize, pace: f64| {
+        for _ in 0..jobs {
+            let job = world.job(0, |_| ());
+            world.round();
+            world.now += 0.05;
+            world.over(job, Ending::Delivered, 0.1 * pace);
+        }
+        world.job(0, |taken| taken.cost = Some(0.4));
+        world.round();
+        world.book.time_outs.last().copied().flatten().expect("a time-out")
+    };
+    // Called off at the usual time, all would be begun anew elsewhere, which is as slow.
+    let (usual, slow) = (asked(60, 1.0), asked(25, 4.0));
+    assert!(slow > 2.3 * usual, "{usual} s, then {slow} s");
+}
+
 #[test]
 fn a_spill_where_grants_are_honoured_is_no_pressure() {
     for trims in [false, true] {
