Announcing decisions: levels, damping, drain clock, guard of the last announcer

Need: a speaker that follows its health check flaps with it, and many that see the same illness go dark at once. Change: crates/announce, without I/O: five signs with rise and fall counts and least times, four levels (announced, depreferred, last resort, withdrawn), staged returns, damping after RFC 2439, a cap on changes a minute, jitter by lot, a drain that is for good. A sick instance first marks its path as a last resort (a large community that the others read) and goes only if it still sees a sound path a settling time later; so a sickness that all share takes no last path away. In crates/bgp a drain may have a lead that changes what is out and never comes back with a new session. The router does not use it yet.

--- /dev/null
+++ b/crates/announce/src/paths.rs
@@ -0,0 +1,107 @@
+//! Who else announces our addresses, as peers show it.
+
+use cleatgw_bgp::{Seen, GRACEFUL_SHUTDOWN};
+use ipnet::IpNet;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The large community (RFC 8092) that every path of ours carries: our AS, whether it is sound, and which instance.
+/// It tells instances that share an AS apart, and the sick from the sound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Mark {
+    pub asn: u32,
+    /// The function numbers of a sound path and of a last resort.
+    pub sound: u32,
+    pub last_resort: u32,
+    /// Our BGP identifier.
+    pub instance: u32,
+}
+
+impl Mark {
+    pub fn write(&self, sound: bool) -> [u32; 3] {
+        [self.asn, if sound { self.sound } else { self.last_resort }, self.instance]
+    }
+
+    /// The instance that a path is from, and whether it says that it is sound; none for a path without a mark.
+    fn read(&self, seen: &Seen) -> Option<(u32, bool)> {
+        let marks = seen.large.iter().filter(|[asn, _, _]| *asn == self.asn);
+        let known = marks.filter(|[_, function, _]| *function == self.sound || *function == self.last_resort);
+        known.map(|[_, function, instance]| (*instance, *function == self.sound)).next()
+    }
+}
+
+/// Paths of other instances, by address.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Paths {
+    /// A session is up that would show them: without one nothing is known.
+    pub view: bool,
+    /// By address: the instances that are sound, all that are seen, and paths of unknown origin.
+    by_net: BTreeMap<IpNet, (BTreeSet<u32>, BTreeSet<u32>, usize)>,
+}
+
+impl Paths {
+    /// Nothing is shown yet; `view` as above.
+    pub fn new(view: bool) -> Paths {
+        Paths { view, by_net: BTreeMap::new() }
+    }
+
+    /// Adds what one peer shows. Our own path, shown back to us, counts for nothing; a stale one neither: its peer may
+    /// be gone. One that is about to go (RFC 8326) or a last resort is seen, and not sound.
+    pub fn add(&mut self, mark: &Mark, net: IpNet, seen: &Seen) {
+        if seen.stale {
+            return;
+        }
+        let leaving = seen.communities.contains(&GRACEFUL_SHUTDOWN);
+        let entry = self.by_net.entry(net).or_default();
+        match mark.read(seen) {
+            Some((instance, _)) if instance == mark.instance => {}
+            Some((instance, sound)) => {
+                entry.1.insert(instance);
+                if sound && !leaving {
+                    entry.0.insert(instance);
+                }
+            }
+            // Somebody else's, or a peer that strips communities: a path, and not known to be sick.
+            None => entry.2 += usize::from(!leaving),
+        }
+    }
+
+    pub fn sound(&self, net: &IpNet) -> usize {
+        self.by_net.get(net).map_or(0, |(sound, _, other)| sound.len() + other)
+    }
+
+    pub fn seen(&self, net: &IpNet) -> usize {
+        self.by_net.get(net).map_or(0, |(_, seen, other)| seen.len() + other)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn seen(large: &[[u32; 3]], communities: &[u32], stale: bool) -> Seen {
+        Seen { communities: communities.to_vec(), large: large.to_vec(), path_length: 2, med: None, stale }
+    }
+
+    #[test]
+    fn our_own_path_shown_back_is_nobody_and_the_sick_are_no_sound_ones() {
+        let mark = Mark { asn: 64_512, sound: 1, last_resort: 2, instance: 7 };
+        let net = "198.51.100.7/32".parse().unwrap();
+        let count = |paths: &[Seen]| {
+            let mut all = Paths::default();
+            paths.iter().for_each(|path| all.add(&mark, net, path));
+            (all.sound(&net), all.seen(&net))
+        };
+        assert_eq!(count(&[seen(&[mark.write(true)], &[], false)]), (0, 0));
+        assert_eq!(count(&[seen(&[[64_512, 1, 8]], &[], false)]), (1, 1));
+        // The same instance by two peers is one.
+        assert_eq!(
+            count(&[seen(&[[64_512, 1, 8]], &[], false), seen(&[[64_512, 1, 8]], &[], false)]),
+            (1, 1)
+        );
+        assert_eq!(count(&[seen(&[[64_512, 2, 8]], &[], false)]), (0, 1));
+        assert_eq!(count(&[seen(&[[64_512, 1, 8]], &[GRACEFUL_SHUTDOWN], false)]), (0, 1));
+        assert_eq!(count(&[seen(&[[64_512, 1, 8]], &[], true)]), (0, 0));
+        // Marks of another AS or with another meaning say nothing.
+        assert_eq!(count(&[seen(&[[9, 2, 8], [64_512, 77, 8]], &[], false)]), (1, 1));
+    }
+}
--- /dev/null
+++ b/crates/announce/src/tests.rs
@@ -0,0 +1,329 @@
+//! One instance in virtual time, one story for each trouble.
+
+use super::*;
+use cleatgw_bgp::Seen;
+
+fn net() -> IpNet {
+    "198.51.100.7/32".parse().unwrap()
+}
+
+fn sign(effect: Effect, bound: f64) -> SignTerms {
+    SignTerms { effect, bound, rise: 2, fall: 2, least_good: 0.0, least_bad: 1.0 }
+}
+
+pub fn terms() -> Terms {
+    Terms {
+        addresses: vec![net()],
+        mark: Mark { asn: 64_512, sound: 1, last_resort: 2, instance: 1 },
+        signs: [
+            sign(Effect::Withdraw, 0.0),
+            sign(Effect::Withdraw, 0.0),
+            sign(Effect::Withdraw, 5.0),
+            sign(Effect::Withdraw, 1.0),
+            sign(Effect::Deprefer, 0.5),
+        ],
+        announced: Dear::default(),
+        depreferred: Dear { med: Some(200), prepend: 1, ..Dear::default() },
+        last_resort: Dear { med: Some(400), prepend: 3, ..Dear::default() },
+        every: 0.25,
+        start_after: 1.0,
+        return_after: 2.0,
+        stage: 3.0,
+        jitter_down: 0.5,
+        jitter_up: 0.5,
+        guard: true,
+        settle: 2.0,
+        damping: Damping { half_life: 60.0, suppress: 5.0, reuse: 2.0, longest: 300.0 },
+        most_changes: 12,
+        shutdown_lead: 0.0,
+        hold: None,
+    }
+}
+
+const WELL: Readings =
+    Readings { listening: true, deciding: true, board_silent: Some(0.1), engines: 3, in_time: Some(0.99) };
+const NO_ENGINES: Readings = Readings { engines: 0, ..WELL };
+
+/// An announcer with what it reads and sees.
+struct World {
+    announcer: Announcer,
+    now: f64,
+    readings: Readings,
+    paths: Paths,
+    /// Every change: when, and to what.
+    moved: Vec<(f64, Level)>,
+}
+
+fn others(marks: &[(u32, bool)]) -> Paths {
+    let mut paths = Paths::new(true);
+    for &(instance, sound) in marks {
+        let large = vec![Mark { instance, ..terms().mark }.write(sound)];
+        let seen = Seen { communities: Vec::new(), large, path_length: 2, med: None, stale: false };
+        paths.add(&terms().mark, net(), &seen);
+    }
+    paths
+}
+
+impl World {
+    fn new(terms: Terms) -> World {
+        let paths = others(&[(2, true)]);
+        World { announcer: Announcer::new(terms, 3, 0.0), now: 0.0, readings: WELL, paths, moved: Vec::new() }
+    }
+
+    /// One that has been announced for a while.
+    fn announced(terms: Terms) -> World {
+        let mut world = World::new(terms);
+        world.run(10.0);
+        assert_eq!(world.level(), Level::Announced);
+        world.moved.clear();
+        world
+    }
+
+    fn level(&self) -> Level {
+        self.announcer.stands().next().unwrap().1
+    }
+
+    fn why(&self) -> Why {
+        self.announcer.stands().next().unwrap().2
+    }
+
+    fn turn(&mut self) {
+        if self.announcer.turn(self.now, &self.readings, &self.paths) {
+            self.moved.push((self.now, self.level()));
+        }
+    }
+
+    fn run(&mut self, time: f64) {
+        let until = self.now + time;
+        self.turn();
+        while self.announcer.due() <= until {
+            self.now = self.announcer.due().max(self.now);
+            self.turn();
+        }
+        self.now = until;
+    }
+}
+
+#[test]
+fn a_start_waits_is_depreferred_for_a_stage_and_then_announced() {
+    let mut world = World::new(terms());
+    world.run(0.9);
+    assert_eq!(
+        (world.level(), world.why(), world.announcer.wanted().len()),
+        (Level::Withdrawn, Why::Starting, 0)
+    );
+    world.run(1.0);
+    assert_eq!((world.level(), world.why()), (Level::Depreferred, Why::Returning));
+    assert_eq!(world.announcer.wanted()[&net()].med, Some(200));
+    world.run(5.0);
+    assert_eq!((world.level(), world.moved.len()), (Level::Announced, 2));
+    assert_eq!(world.announcer.wanted()[&net()].large, [[64_512, 1, 1]]);
+}
+
+#[test]
+fn one_bad_reading_moves_nothing_and_a_short_illness_is_outlasted() {
+    let mut world = World::announced(terms());
+    for _ in 0..40 {
+        world.readings = NO_ENGINES;
+        world.run(0.25);
+        world.readings = WELL;
+        world.run(0.5);
+    }
+    assert_eq!(world.moved, []);
+}
+
+#[test]
+fn a_sick_instance_shows_itself_so_and_goes_only_while_a_sound_path_is_seen() {
+    let mut world = World::announced(terms());
+    world.readings = NO_ENGINES;
+    world.run(1.4);
+    assert_eq!(world.level(), Level::LastResort);
+    let shown = world.announcer.wanted()[&net()].clone();
+    assert_eq!((shown.med, shown.prepend, &shown.large[..]), (Some(400), 3, &[[64_512, 2, 1]][..]));
+    world.run(1.0);
+    assert_eq!(world.level(), Level::LastResort, "not before the settling time");
+    world.run(3.0);
+    assert_eq!((world.level(), world.why()), (Level::Withdrawn, Why::Sick(Sign::Engines)));
+}
+
+/// Hard case: all engines are gone at all instances. The last path stays, and the instance says so.
+#[test]
+fn what_all_suffer_from_takes_no_last_path_away() {
+    for paths in [others(&[]), others(&[(2, false), (3, false)])] {
+        let mut world = World::announced(terms());
+        (world.readings, world.paths) = (NO_ENGINES, paths);
+        world.run(100.0);
+        assert_eq!((world.level(), world.why()), (Level::LastResort, Why::NobodyElse(Sign::Engines)));
+        assert_eq!((world.announcer.guarded, world.moved.len()), (1, 1));
+        let mut notes = std::iter::from_fn(|| world.announcer.noted());
+        assert!(notes.any(|note| note.waits == Some("the guard of the last announcer")));
+        // Well again: announced, without a dark moment.
+        world.readings = WELL;
+        world.run(5.0);
+        assert_eq!((world.level(), world.moved.len()), (Level::Announced, 2));
+    }
+    // Without the guard it goes dark; and what only one can suffer from is no reason to stay.
+    let mut world = World::announced(Terms { guard: false, ..terms() });
+    (world.readings, world.paths) = (NO_ENGINES, others(&[]));
+    world.run(5.0);
+    assert_eq!(world.level(), Level::Withdrawn);
+    let mut world = World::announced(terms());
+    (world.readings, world.paths) = (Readings { listening: false, ..WELL }, others(&[]));
+    world.run(1.0);
+    assert_eq!((world.level(), world.why()), (Level::Withdrawn, Why::Sick(Sign::Listening)));
+}
+
+#[test]
+fn without_a_session_that_shows_others_nobody_goes() {
+    let mut world = World::announced(terms());
+    world.paths = Paths::default();
+    world.readings = NO_ENGINES;
+    world.run(30.0);
+    assert_eq!(world.level(), Level::LastResort);
+}
+
+#[test]
+fn a_sick_instance_comes_back_as_last_resort_when_nobody_is_left() {
+    let mut world = World::announced(terms());
+    world.readings = NO_ENGINES;
+    world.run(10.0);
+    assert_eq!(world.level(), Level::Withdrawn);
+    // The sound one sickens: it stays as last resort, so there is a path.
+    world.paths = others(&[(2, false)]);
+    world.run(20.0);
+    assert_eq!(world.level(), Level::Withdrawn);
+    // It dies.
+    world.paths = others(&[]);
+    world.run(4.0);
+    assert_eq!((world.level(), world.why()), (Level::LastResort, Why::NobodyElse(Sign::Engines)));
+    // An instance that is well does not wait for its return where nobody is left.
+    let mut world = World::announced(terms());
+    world.readings = NO_ENGINES;
+    world.run(10.0);
+    (world.readings, world.paths) = (WELL, others(&[]));
+    world.run(1.3);
+    assert_eq!(world.level(), Level::Depreferred);
+}
+
+#[test]
+fn a_weak_instance_is_depreferred_and_no_more() {
+    let mut world = World::announced(terms());
+    world.readings.in_time = Some(0.2);
+    world.run(60.0);
+    assert_eq!((world.level(), world.why()), (Level::Depreferred, Why::Weak(Sign::InTime)));
+    // Too few jobs to tell: what was believed stands.
+    world.readings.in_time = None;
+    world.run(60.0);
+    assert_eq!(world.level(), Level::Depreferred);
+    world.readings.in_time = Some(0.9);
+    world.run(5.0);
+    assert_eq!(world.level(), Level::Announced);
+}
+
+/// Hard case: sickness that comes and goes at the damping limit.
+#[test]
+fn a_sickness_that_comes_and_goes_ends_damped_and_under_the_cap() {
+    let illness = |terms: Terms| {
+        let mut world = World::announced(terms);
+        for _ in 0..60 {
+            world.readings = NO_ENGINES;
+            world.run(8.0);
+            world.readings = WELL;
+            world.run(8.0);
+        }
+        let window =
+            |from: f64| world.moved.iter().filter(|(at, _)| (from..from + MINUTE).contains(at)).count();
+        let most = world.moved.iter().map(|(at, _)| window(*at)).max().unwrap_or(0);
+        (world.moved.len(), most, world.announcer.damped, world.announcer.capped, world)
+    };
+    let never = Damping { suppress: f64::INFINITY, ..terms().damping };
+    let (wild, ..) = illness(Terms { damping: never, most_changes: 1000, ..terms() });
+    let (damped, most, held, _, mut world) = illness(terms());
+    assert!(wild > 150 && damped < wild / 2 && held > 0 && most <= 12, "{wild} {damped} {held} {most}");
+    // It comes back once it has been well for long enough, and no later than the longest time.
+    world.readings = WELL;
+    world.run(310.0);
+    assert_eq!(world.level(), Level::Announced);
+    // The cap alone.
+    let (_, most, _, capped, _) = illness(Terms { damping: never, most_changes: 4, ..terms() });
+    assert!(most <= 4 && capped > 0, "{most} {capped}");
+    // Just under the limit of the damping: never held back.
+    let mut world =
+        World::announced(Terms { damping: Damping { half_life: 30.0, ..terms().damping }, ..terms() });
+    for _ in 0..20 {
+        world.readings = NO_ENGINES;
+        world.run(8.0);
+        world.readings = WELL;
+        world.run(60.0);
+    }
+    assert_eq!((world.announcer.damped, world.level()), (0, Level::Announced));
+}
+
+#[test]
+fn instances_that_see_the_same_illness_do_not_move_as_one() {
+    let moved = |seed| {
+        let mut world = World::announced(terms());
+        world.announcer.seed = seed;
+        world.readings = NO_ENGINES;
+        world.run(2.0);
+        world.moved[0].0
+    };
+    let mut times: Vec<f64> = (0..40).map(moved).collect();
+    times.sort_by(f64::total_cmp);
+    assert!(times[39] - times[0] > 0.4, "{times:?}");
+    times.dedup();
+    assert!(times.len() > 30);
+}
+
+#[test]
+fn a_drain_withdraws_for_good_whatever_is_read_seen_or_settled_afterwards() {
+    for lead in [0.0, 0.4] {
+        let mut world = World::announced(Terms { shutdown_lead: lead, ..terms() });
+        world.paths = others(&[]);
+        let drain = world.announcer.drain(world.now);
+        assert_eq!((drain.withdraws_at, drain.new_work_ends), (world.now + lead, world.now + NEW_WORK));
+        if lead > 0.0 {
+            let wanted = world.announcer.wanted();
+            assert_eq!(
+                (&wanted[&net()].communities[..], wanted[&net()].local_pref),
+                (&[GRACEFUL_SHUTDOWN][..], Some(0))
+            );
+            // The mark says that it is no sound path any more.
+            assert_eq!(wanted[&net()].large, [[64_512, 2, 1]]);
+            world.run(0.39);
+            assert_eq!(world.level(), Level::Depreferred);
+            world.run(0.02);
+        }
+        assert_eq!(
+            (world.level(), world.why(), world.announcer.due()),
+            (Level::Withdrawn, Why::Drained, f64::INFINITY)
+        );
+        // Hard case: a reload while draining, with another address and a longer lead.
+        let other = "198.51.100.8/32".parse().unwrap();
+        let new = Terms { addresses: vec![net(), other], shutdown_lead: 0.8, ..terms() };
+        world.announcer.change(new, world.now);
+        world.run(100.0);
+        assert!(world.announcer.wanted().is_empty());
+        assert_eq!(world.announcer.drain(world.now), Drain { withdraws_at: drain.began + lead, ..drain });
+    }
+    // One that never was announced is not announced by its drain.
+    let mut world = World::new(Terms { shutdown_lead: 0.4, ..terms() });
+    world.announcer.drain(0.0);
+    assert!(world.announcer.wanted().is_empty());
+}
+
+#[test]
+fn a_reload_keeps_what_stays_and_starts_what_is_new() {
+    let mut world = World::announced(terms());
+    let other = "198.51.100.8/32".parse().unwrap();
+    world.announcer.change(Terms { addresses: vec![other, net()], ..terms() }, world.now);
+    let levels: Vec<Level> = world.announcer.stands().map(|stand| stand.1).collect();
+    assert_eq!(levels, [Level::Withdrawn, Level::Announced]);
+    world.announcer.change(Terms { addresses: vec![other], ..terms() }, world.now);
+    assert!(world.announcer.wanted().is_empty());
+    world.run(10.0);
+    assert_eq!(world.announcer.wanted().len(), 1);
+    world.announcer.change(Terms { hold: Some(Hold::Withdrawn), ..terms() }, world.now);
+    world.run(20.0);
+    assert!(world.announcer.wanted().is_empty());
+}
--- a/crates/bgp/src/session.rs
+++ b/crates/bgp/src/session.rs
@@ -546,13 +546,17 @@
         }
     }
 
-    /// All is withdrawn, now and for good. A peer that may keep routes of a lost session is sought, told that there
-    /// are none, and left.
-    pub fn drain(&mut self, now: f64) {
+    /// All is withdrawn for good, but for what of `lead` is out on the session that is up: that may change once more,
+    /// and goes with the next call or with the session. A peer that may keep routes of a lost session is sought, told
+    /// that there are none, and left.
+    pub fn drain(&mut self, lead: BTreeMap<IpNet, Path>, now: f64) {
         if self.will != Will::Run {
-            return;
+            self.wanted.retain(|net, _| lead.contains_key(net));
+            return self.tell(now);
         }
-        (self.will, self.wanted) = (Will::Drain, BTreeMap::new());
+        self.will = Will::Drain;
+        let out: Vec<IpNet> = self.told().map(|(net, _)| *net).collect();
+        self.wanted = lead.into_iter().filter(|(net, _)| out.contains(net)).collect();
         self.rest = Rest::Active { until: now };
         if self.kept_until == f64::NEG_INFINITY {
             for side in Side::BOTH {
@@ -586,7 +590,7 @@
 
     /// Ends the session with a Cease that removes our routes, also where they would be kept over a lost connection.
     pub fn finish(&mut self, subcode: u8, words: &str, now: f64) {
-        self.drain(now);
+        self.drain(BTreeMap::new(), now);
         (self.will, self.kept_until) = (Will::Stop, f64::NEG_INFINITY);
         for side in Side::BOTH {
             self.leave_unless_up(side, words, now);
@@ -666,6 +670,10 @@
             return;
         }
         let draining = self.will != Will::Run;
+        if draining {
+            // What was out went with the session, and does not come back.
+            self.wanted.clear();
+        }
         self.rest = match opened {
             _ if draining => Rest::Active { until: now + CLEARING },
             true => {
@@ -940,7 +948,7 @@
             }
         }
         // A peer that was only sought to clear what it kept is left once it has been told so.
-        let clear = self.will == Will::Drain && conn.out.is_empty();
+        let clear = self.will == Will::Drain && conn.out.is_empty() && self.wanted.is_empty();
         self.conns[side as usize] = Some(conn);
         if clear && self.kept_until > f64::NEG_INFINITY {
             self.kept_until = f64::NEG_INFINITY;
--- a/crates/bgp/tests/model.rs
+++ b/crates/bgp/tests/model.rs
@@ -138,7 +138,7 @@
             }
             Step::Drain => {
                 match self.planted {
-                    Planted::Nothing => host.peer.drain(host.now),
+                    Planted::Nothing => host.peer.drain(wanted(&[]), host.now),
                     Planted::DrainOnlyWithdraws => host.peer.announce(wanted(&[]), host.now),
                     Planted::DrainLeaves => host.peer.finish(notification::SHUTDOWN, "", host.now),
                 }
--- a/crates/bgp/tests/session.rs
+++ b/crates/bgp/tests/session.rs
@@ -252,7 +252,7 @@
         host.peer.announce(both(), 0.0);
         until(&mut host);
         let before = announced(&host);
-        host.peer.drain(host.now);
+        host.peer.drain(wanted(&[]), host.now);
         // Whatever is asked for afterwards.
         host.peer.announce(both(), host.now);
         (host.net, host.carries, host.far.mute) = (Net::Up, true, false);
@@ -283,7 +283,7 @@
     let mut host = Host::up(ours.clone(), theirs.clone(), both());
     host.reset();
     assert_eq!(host.held(), 2, "kept, as agreed");
-    host.peer.drain(host.now);
+    host.peer.drain(wanted(&[]), host.now);
     assert!(!host.peer.cleared(host.now));
     // It is not reached at first.
     host.net = Net::Refuses;
@@ -295,7 +295,7 @@
     assert_eq!(announced(&host), 2);
     // A withdrawal that was written may be lost with its connection just as well.
     let mut host = Host::up(ours.clone(), theirs.clone(), both());
-    host.peer.drain(host.now);
+    host.peer.drain(wanted(&[]), host.now);
     let lost = host.peer.unsent(Side::Ours).len();
     host.peer.written(Side::Ours, lost, host.now);
     host.reset();
@@ -485,3 +485,30 @@
     open.capabilities.families = [true, false];
     assert_eq!(Host::up(terms(), open, both()).held(), 1);
 }
+
+/// A drain with a lead shows GRACEFUL_SHUTDOWN on what is out, and only on the session that has it out.
+#[test]
+fn a_lead_changes_what_is_out_and_never_comes_back_with_a_new_session() {
+    let leaving = Path { communities: vec![GRACEFUL_SHUTDOWN], ..Path::default() };
+    let lead = || both().into_keys().map(|net| (net, leaving.clone())).collect();
+    let mut host = Host::up(terms(), far_open(), wanted(&["198.51.100.7/32"]));
+    host.peer.drain(lead(), host.now);
+    host.settle();
+    assert_eq!((host.held(), announced(&host)), (1, 2));
+    assert_eq!(host.far.table[&net("198.51.100.7/32")].0.communities, [GRACEFUL_SHUTDOWN]);
+    let mut flapped = host.clone();
+    host.peer.drain(wanted(&[]), host.now);
+    host.settle();
+    assert!(host.held() == 0 && host.peer.cleared(host.now));
+    // The session is lost within the lead, and the far end connects anew.
+    flapped.reset();
+    flapped.arrives();
+    flapped.run(5.0);
+    assert_eq!((flapped.held(), announced(&flapped)), (0, 2));
+    // With no session, a lead announces nothing.
+    let mut down = Host::new(terms(), far_open());
+    down.peer.announce(both(), 0.0);
+    down.peer.drain(lead(), 0.0);
+    down.run(5.0);
+    assert_eq!(announced(&down), 0);
+}
