Laboratory: drain, flap and fleet; a cap that leaves room to come back; the speaker's own clock

Found by the fleet: under a dependency that comes and goes 2 of 300 stayed, as all who had gone used up the cap and could not return. Now none withdraws for a shared sickness without room under the cap to come back, and a damped address stays a last resort. The speaker runs on a clock that nobody sets, so a step of the Unix clock ends no session.

--- a/crates/announce/src/lib.rs
+++ b/crates/announce/src/lib.rs
@@ -56,6 +56,8 @@
     Weak(Sign),
     /// Sick, and no sound path of another instance is seen.
     NobodyElse(Sign),
+    /// Its penalty has to fade: neither preferred nor withdrawn meanwhile.
+    Damped,
     Held,
     Draining,
     Drained,
@@ -70,6 +72,7 @@
             Why::Sick(sign) => write!(to, "sick: {sign}"),
             Why::Weak(sign) => write!(to, "weak: {sign}"),
             Why::NobodyElse(sign) => write!(to, "sick: {sign}, but no sound path is seen"),
+            Why::Damped => write!(to, "damped"),
             Why::Held => write!(to, "held by the operator"),
             Why::Draining => write!(to, "draining"),
             Why::Drained => write!(to, "drained"),
@@ -374,6 +377,26 @@
         (Level::Announced, Why::Well)
     }
 
+    /// A damped address stays a last resort: as it can't return soon, to withdraw it would leave its load to the few
+    /// that are not damped yet, and to prefer it would bring the next fall.
+    fn damped(&self, at: usize, (level, why): (Level, Why)) -> (Level, Why) {
+        let address = &self.addresses[at];
+        let shared = matches!(why, Why::Sick(sign) if sign.may_be_shared());
+        if !address.penalty.suppressed || !address.started || why == Why::Held {
+            return (level, why);
+        }
+        match (address.level, level) {
+            (Level::LastResort, Level::Withdrawn) if shared && self.terms.guard => {
+                (Level::LastResort, Why::Damped)
+            }
+            (Level::Withdrawn | Level::LastResort, Level::Depreferred | Level::Announced) => {
+                (Level::LastResort, Why::Damped)
+            }
+            (Level::Depreferred, Level::Announced) => (Level::Depreferred, Why::Damped),
+            _ => (level, why),
+        }
+    }
+
     fn consider(&mut self, at: usize, now: f64, paths: &Paths) {
         let sick = self.first_bad(Effect::Withdraw).is_some();
         let address = &mut self.addresses[at];
@@ -381,39 +404,37 @@
         address.well_since = if sick { None } else { address.well_since.or(Some(now)) };
         address.alone_since = if seen > 0 || !paths.view { None } else { address.alone_since.or(Some(now)) };
         address.penalty.fade(now, &self.terms.damping);
-        let (level, why) = self.aim(at, now, paths);
+        let (level, why) = self.damped(at, self.aim(at, now, paths));
         let address = &mut self.addresses[at];
         if level == address.level {
             address.moving = None;
             if why != address.why {
                 address.why = why;
-                if matches!(why, Why::NobodyElse(_)) {
-                    self.guarded += 1;
-                    self.note(at, (sound, seen), Some("the guard of the last announcer"));
-                }
-            }
-            if self.addresses[at].level >= Level::Depreferred {
-                self.addresses[at].waits = None;
+                let by = match why {
+                    Why::NobodyElse(_) => "the guard of the last announcer",
+                    Why::Damped => "damping",
+                    _ => return,
+                };
+                self.guarded += u64::from(why != Why::Damped);
+                self.damped += u64::from(why == Why::Damped);
+                self.note(at, (sound, seen), Some(by));
             }
             return;
         }
         let down = level < address.level;
-        // Nobody else is there: neither penalties nor the lot are worth a dark address.
-        let needed = !down && address.level == Level::Withdrawn && paths.view && seen == 0;
-        if !down && !needed && address.penalty.suppressed {
-            if address.waits != Some("damping") {
-                self.damped += 1;
-                self.note(at, (sound, seen), Some("damping"));
-            }
-            return;
-        }
         let address = &mut self.addresses[at];
         while address.changes.front().is_some_and(|&changed| changed <= now - MINUTE) {
             address.changes.pop_front();
         }
-        // Moves up keep to half of the cap, so that there is room to go down.
-        let most = self.terms.most_changes.max(2) as usize;
-        let most = if down { most } else { most.div_ceil(2) };
+        // Moves up keep to half of the cap, so that there is room to go down; and none withdraws for what others may
+        // suffer from too unless there is room to come back: a fleet that all but a few have left is as good as dark.
+        let cap = self.terms.most_changes.max(2) as usize;
+        let leaves = level == Level::Withdrawn && self.terms.guard;
+        let most = match why {
+            Why::Sick(sign) if leaves && sign.may_be_shared() => cap.div_ceil(2) - 1,
+            _ if down => cap,
+            _ => cap.div_ceil(2),
+        };
         if address.changes.len() >= most {
             if address.waits != Some("the cap on changes") {
                 self.capped += 1;
@@ -440,12 +461,9 @@
             return;
         }
         if down && matches!(why, Why::Sick(_) | Why::Weak(_) | Why::NobodyElse(_)) {
-            let suppressed = self.addresses[at].penalty.suppressed;
             self.addresses[at].penalty.add(now, &self.terms.damping);
-            if self.addresses[at].penalty.suppressed && !suppressed {
-                self.addresses[at].waits = None;
-            }
         }
+        self.damped += u64::from(why == Why::Damped);
         self.set(at, level, why, now, (sound, seen));
     }
 
--- a/crates/announce/src/tests.rs
+++ b/crates/announce/src/tests.rs
@@ -33,7 +33,7 @@
         jitter_up: 0.5,
         guard: true,
         settle: 2.0,
-        damping: Damping { half_life: 60.0, suppress: 5.0, reuse: 2.0, longest: 300.0 },
+        damping: Damping { half_life: 60.0, suppress: 3.0, reuse: 1.0, longest: 300.0 },
         most_changes: 12,
         shutdown_lead: 0.0,
         hold: None,
@@ -247,6 +247,23 @@
     // The cap alone.
     let (_, most, _, capped, _) = illness(Terms { damping: never, most_changes: 4, ..terms() });
     assert!(most <= 4 && capped > 0, "{most} {capped}");
+    // While damped it is out as a last resort: neither dark nor preferred.
+    let mut world = World::announced(Terms { most_changes: 40, ..terms() });
+    for _ in 0..4 {
+        world.readings = NO_ENGINES;
+        world.run(8.0);
+        world.readings = WELL;
+        world.run(8.0);
+    }
+    assert_eq!((world.level(), world.why()), (Level::LastResort, Why::Damped));
+    world.readings = NO_ENGINES;
+    world.run(30.0);
+    assert_eq!((world.level(), world.why()), (Level::LastResort, Why::Damped));
+    // Under a cap that leaves no room to come back it is not withdrawn either: others have the same cap.
+    let mut world = World::announced(Terms { most_changes: 4, ..terms() });
+    world.readings = NO_ENGINES;
+    world.run(30.0);
+    assert_eq!((world.level(), world.announcer.capped), (Level::LastResort, 1));
     // Just under the limit of the damping: never held back.
     let mut world =
         World::announced(Terms { damping: Damping { half_life: 30.0, ..terms().damping }, ..terms() });
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,66 @@
+//! `cleatgw-lab`: measurements that the kit's benches can't show. The last line of each is one JSON object.
+
+use bpaf::{construct, long, OptionParser, Parser};
+use cleatgw_lab::{drain, flap, fleet};
+use std::path::PathBuf;
+
+enum Command {
+    Drain { runs: usize, seed: u64, program: PathBuf },
+    Flap { minutes: f64, per_minute: f64, seed: u64, program: PathBuf },
+    Fleet { routers: usize, seed: u64, plot: Option<PathBuf> },
+}
+
+/// The router that was built beside us.
+fn beside() -> PathBuf {
+    let mut path = std::env::current_exe().unwrap_or_default();
+    path.set_file_name("cleatgw");
+    path
+}
+
+fn options() -> OptionParser<Command> {
+    let seed = || long("seed").help("What chance is drawn from").argument::<u64>("S").fallback(1);
+    let program = || {
+        long("program")
+            .help("The router")
+            .argument::<PathBuf>("FILE")
+            .fallback_with(|| Ok::<_, String>(beside()))
+    };
+    let drain = {
+        let runs = long("runs").help("How many stops").argument::<usize>("N").fallback(60);
+        let (seed, program) = (seed(), program());
+        construct!(Command::Drain { runs, seed, program })
+    };
+    let drain = drain.to_options().descr("Real routers are stopped in every state of their BGP session");
+    let drain = drain.command("drain");
+    let flap = {
+        let minutes = long("minutes").help("How long").argument::<f64>("M").fallback(1.0);
+        let per_minute =
+            long("per-minute").help("How often the session ends").argument::<f64>("N").fallback(10.0);
+        let (seed, program) = (seed(), program());
+        construct!(Command::Flap { minutes, per_minute, seed, program })
+    };
+    let flap =
+        flap.to_options().descr("The same load with and without a peer whose session flaps").command("flap");
+    let fleet = {
+        let routers = long("routers").help("How many instances").argument::<usize>("N").fallback(300);
+        let plot = long("plot").help("Where the plot goes, an SVG").argument::<PathBuf>("FILE").optional();
+        let seed = seed();
+        construct!(Command::Fleet { routers, seed, plot })
+    };
+    let fleet =
+        fleet.to_options().descr("Many announcers under shared failures, in virtual time").command("fleet");
+    construct!([drain, flap, fleet]).to_options().descr("The laboratory: loopback and virtual time only")
+}
+
+fn main() {
+    let report = match options().run() {
+        Command::Drain { runs, seed, program } => drain::measure(&program, runs.clamp(1, 10_000), seed),
+        Command::Flap { minutes, per_minute, seed, program } => {
+            flap::measure(&program, minutes.clamp(0.05, 60.0), per_minute.clamp(0.0, 600.0), seed)
+        }
+        Command::Fleet { routers, seed, plot } => {
+            fleet::measure(routers.clamp(2, 2000), seed, plot.as_deref())
+        }
+    };
+    println!("{report}");
+}
--- a/crates/lab/src/standins.rs
+++ b/crates/lab/src/standins.rs
@@ -418,6 +418,52 @@
         client
     }
 
+    /// A client of whatever listens there, logged in; an error is why it could not.
+    pub fn at(address: SocketAddr) -> std::io::Result<Client> {
+        let mut stream = TcpStream::connect(address)?;
+        stream.set_read_timeout(Some(GENEROUS))?;
+        stream.set_nodelay(true)?;
+        stream.write_all(&login())?;
+        let mut client = Client { stream, session: 0 };
+        let end = || std::io::Error::from(std::io::ErrorKind::UnexpectedEof);
+        client.packet().ok_or_else(end)?;
+        client.packet().ok_or_else(end)?;
+        Ok(client)
+    }
+
+    /// Sends a query; tells whether that could be done.
+    pub fn try_send(&mut self, text: &str) -> bool {
+        self.stream.write_all(&query(text)).is_ok()
+    }
+
+    /// Reads one whole answer, if one comes.
+    pub fn try_answer(&mut self) -> Option<Answered> {
+        let first = self.packet()?.1;
+        match first.first()? {
+            0 => return Some(Answered::Ok),
+            0xff => return Some(Answered::Error(u16::from_le_bytes([first[1], first[2]]), String::new())),
+            columns => {
+                for _ in 0..=*columns {
+                    self.packet()?;
+                }
+            }
+        }
+        let mut rows = Vec::new();
+        loop {
+            let body = self.packet()?.1;
+            if body.first() == Some(&0xfe) && body.len() < 9 {
+                return Some(Answered::Rows(rows));
+            }
+            rows.push(String::new());
+        }
+    }
+
+    /// The router's counters as they stand.
+    pub fn counters_now(&mut self) -> String {
+        let _ = self.stream.write_all(&packet(0, &[9]));
+        self.packet().map(|(_, body)| String::from_utf8_lossy(&body).into_owned()).unwrap_or_default()
+    }
+
     pub fn packet(&mut self) -> Option<(u8, Vec<u8>)> {
         let mut header = [0; 4];
         self.stream.read_exact(&mut header).ok()?;
--- a/crates/operator/src/service.rs
+++ b/crates/operator/src/service.rs
@@ -140,7 +140,7 @@
 
 impl Default for DampingPart {
     fn default() -> DampingPart {
-        DampingPart { half_life_s: 60.0, suppress: 5.0, reuse: 2.0, longest_s: 300.0 }
+        DampingPart { half_life_s: 60.0, suppress: 3.0, reuse: 1.0, longest_s: 300.0 }
     }
 }
 
--- /dev/null
+++ b/crates/queue/src/lib.rs
@@ -0,0 +1,476 @@
+//! The line of held jobs: whose turn it is. Teams share what engines do by weight, in up to three levels; the share is
+//! of work, not of jobs. No I/O, and nothing is decided here of engines, pushes or refusals: the decision module asks
+//! for the next job to try, and for the one to displace where a line is longer than it may be.
+//!
+//! The order between teams is hierarchical start-time fair queueing (Goyal, Vin and Cheng, "Start-Time Fair Queueing",
+//! 1996; Bennett and Zhang, "Hierarchical Packet Fair Queueing Algorithms", 1996): of the teams that wait, the one goes
+//! next whose work so far, for its weight, is least. A team that was idle joins where the others are: it has saved
+//! nothing. A team within its budget goes before one that is over, so unused share is lent and taken back by time.
+//! Within a team the rank of a job decides, which the module hands in, aged or not ([`Terms::ageing`]).
+//!
+//! Times are seconds on the host's clock, work is seconds of one core.
+
+mod adapt;
+mod bucket;
+mod waits;
+
+pub use adapt::Adaptive;
+pub use bucket::Bucket;
+pub use waits::{Wait, Waits};
+
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The parent of all teams.
+pub const ROOT: usize = 0;
+
+/// One team, or a group of them. A parent stands before its children.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Terms {
+    /// Its index in the list; the first one is [`ROOT`] and its own parent.
+    pub parent: usize,
+    /// More than 0.
+    pub weight: f64,
+    /// Its budget: seconds of work a second, and how many seconds it may save up. None: never over.
+    pub budget: Option<(f64, f64)>,
+    /// Jobs, and seconds of work, that may be in line; beyond them the last is displaced.
+    pub most_queued: usize,
+    pub most_queued_work: f64,
+    /// Jobs that may be out at engines at once.
+    pub most_out: usize,
+    /// A job goes ahead of a denser one that came so many seconds later for each halving of its density. None: the
+    /// densest first, however long others wait.
+    pub ageing: Option<f64>,
+}
+
+impl Default for Terms {
+    fn default() -> Terms {
+        Terms {
+            parent: ROOT,
+            weight: 1.0,
+            budget: None,
+            most_queued: usize::MAX,
+            most_queued_work: f64::INFINITY,
+            most_out: usize::MAX,
+            ageing: None,
+        }
+    }
+}
+
+/// A job that waits.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Waiting {
+    pub job: usize,
+    /// A leaf of the tree.
+    pub team: usize,
+    /// Credit for its work, more than 0: the denser first.
+    pub density: f64,
+    pub work: f64,
+    pub since: f64,
+    /// None of its pushes may have run: it may be displaced.
+    pub never_ran: bool,
+}
+
+/// Positive values keep their order as bits.
+fn rank(value: f64) -> u64 {
+    value.max(0.0).to_bits()
+}
+
+/// Where a node stands among its siblings: those over budget last, then by what they have had for their weight.
+type Place = (bool, u64);
+
+#[derive(Clone, Debug)]
+struct Node {
+    terms: Terms,
+    /// Children that have a job to offer, in turn.
+    active: BTreeSet<(Place, usize)>,
+    /// The work for its weight that children were last served at: where those that come join.
+    virtual_time: f64,
+    /// What it has had itself, among its siblings.
+    start: f64,
+    place: Option<Place>,
+    bucket: Option<Bucket>,
+    /// Only in a leaf: the line, and those of it that may be displaced.
+    line: BTreeSet<(u64, usize)>,
+    movable: BTreeSet<(u64, usize)>,
+    queued: usize,
+    queued_work: f64,
+    out: usize,
+}
+
+impl Node {
+    fn new(terms: Terms, now: f64) -> Node {
+        Node {
+            bucket: terms.budget.map(|(rate, burst)| Bucket::new(rate, burst, now)),
+            terms,
+            active: BTreeSet::new(),
+            virtual_time: 0.0,
+            start: 0.0,
+            place: None,
+            line: BTreeSet::new(),
+            movable: BTreeSet::new(),
+            queued: 0,
+            queued_work: 0.0,
+            out: 0,
+        }
+    }
+
+    fn over(&self) -> bool {
+        self.bucket.as_ref().is_some_and(Bucket::empty)
+    }
+}
+
+/// A job that is being tried: its team, and those above it, are charged already.
+#[derive(Clone, Debug)]
+struct Offer {
+    waiting: Waiting,
+    /// From the leaf upwards: the node, and what it had had before.
+    path: Vec<(usize, f64)>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Line {
+    nodes: Vec<Node>,
+    waiting: BTreeMap<usize, Waiting>,
+    /// Teams by the work that they have in line for their weight.
+    longest: BTreeSet<(u64, usize)>,
+    offers: Vec<Offer>,
+    /// When a team's budget is no longer used up, by time.
+    refills: BTreeSet<(u64, usize)>,
+    /// In all.
+    most_queued: usize,
+    pub waits: Waits,
+}
+
+impl Line {
+    /// One team for all: the densest first.
+    pub fn single() -> Line {
+        Line::new(vec![Terms::default()], 0.0)
+    }
+
+    /// # Panics
+    /// Where a parent does not stand before its child, or a weight is not above 0: the host checks its file.
+    pub fn new(teams: Vec<Terms>, now: f64) -> Line {
+        for (at, terms) in teams.iter().enumerate() {
+            assert!(
+                terms.parent < at || at == ROOT && terms.parent == ROOT,
+                "team {at}: its parent comes later"
+            );
+            assert!(
+                terms.weight > 0.0 && terms.weight.is_finite(),
+                "team {at}: a weight of {}",
+                terms.weight
+            );
+        }
+        let most_queued = teams.first().map_or(usize::MAX, |root| root.most_queued);
+        Line {
+            waits: Waits::new(teams.len()),
+            nodes: teams.into_iter().map(|terms| Node::new(terms, now)).collect(),
+            waiting: BTreeMap::new(),
+            longest: BTreeSet::new(),
+            offers: Vec::new(),
+            refills: BTreeSet::new(),
+            most_queued,
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.waiting.len() + self.offers.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Jobs and seconds of work that a team has in line, and jobs that it has out.
+    pub fn of(&self, team: usize) -> (usize, f64, usize) {
+        self.nodes.get(team).map_or((0, 0.0, 0), |node| (node.queued, node.queued_work, node.out))
+    }
+
+    /// Its place within its team: earlier is less.
+    fn key(&self, waiting: &Waiting) -> (u64, usize) {
+        let key = match self.nodes[waiting.team].terms.ageing {
+            None => u64::MAX - rank(waiting.density),
+            // A denser one stands as if it had come earlier; times are shifted to stay positive.
+            Some(ageing) => rank(waiting.since - ageing * waiting.density.max(1e-9).log2() + 1e6),
+        };
+        (key, waiting.job)
+    }
+
+    /// The job waits from now on.
+    pub fn hold(&mut self, waiting: Waiting, now: f64) {
+        if self.waiting.contains_key(&waiting.job) {
+            return;
+        }
+        let waiting = Waiting { team: waiting.team.min(self.nodes.len() - 1), ..waiting };
+        self.waiting.insert(waiting.job, waiting);
+        self.enter(&waiting);
+        self.refilled(now);
+        self.activate(waiting.team);
+    }
+
+    fn enter(&mut self, waiting: &Waiting) {
+        let key = self.key(waiting);
+        let node = &mut self.nodes[waiting.team];
+        node.line.insert(key);
+        if waiting.never_ran {
+            node.movable.insert(key);
+        }
+        self.count(waiting, 1.0);
+    }
+
+    /// Takes it off its team's line.
+    fn exit(&mut self, waiting: &Waiting) {
+        let key = self.key(waiting);
+        let node = &mut self.nodes[waiting.team];
+        node.line.remove(&key);
+        node.movable.remove(&key);
+        self.count(waiting, -1.0);
+    }
+
+    fn count(&mut self, waiting: &Waiting, sign: f64) {
+        let team = waiting.team;
+        let before = self.length(team);
+        let mut at = team;
+        loop {
+            let node = &mut self.nodes[at];
+            node.queued = if sign > 0.0 { node.queued + 1 } else { node.queued - 1 };
+            node.queued_work =
+                if node.queued == 0 { 0.0 } else { (node.queued_work + sign * waiting.work).max(0.0) };
+            if at == ROOT {
+                break;
+            }
+            at = node.terms.parent;
+        }
+        self.longest.remove(&before);
+        let after = self.length(team);
+        if self.nodes[team].queued > 0 {
+            self.longest.insert(after);
+        }
+    }
+
+    fn length(&self, team: usize) -> (u64, usize) {
+        let node = &self.nodes[team];
+        (rank(node.queued_work / node.terms.weight), team)
+    }
+
+    /// It waits no more: it was answered, or its client has gone.
+    pub fn leave(&mut self, job: usize, now: f64) {
+        // One that is on offer goes back into line first, so that what it was charged comes back.
+        if self.offers.iter().any(|offer| offer.waiting.job == job) {
+            self.put_back(now);
+        }
+        self.waits.left(job);
+        if let Some(waiting) = self.waiting.remove(&job) {
+            self.exit(&waiting);
+            self.settle(waiting.team);
+        }
+    }
+
+    /// A leaf has something to offer: a job in line, and room for one more out.
+    fn offers_any(&self, at: usize) -> bool {
+        let node = &self.nodes[at];
+        !node.active.is_empty() || !node.line.is_empty() && node.out < node.terms.most_out
+    }
+
+    /// Puts a node, and those above it, in its place among its siblings if it has something to offer.
+    fn activate(&mut self, mut at: usize) {
+        while at != ROOT {
+            let parent = self.nodes[at].terms.parent;
+            if self.offers_any(at) {
+                if self.nodes[at].place.is_none() {
+                    // Who was idle has saved nothing.
+                    let joined = self.nodes[parent].virtual_time;
+                    self.nodes[at].start = self.nodes[at].start.max(joined);
+                }
+                self.replace(at);
+            }
+            at = parent;
+        }
+    }
+
+    /// Its place anew, after what it stands by has changed.
+    fn replace(&mut self, at: usize) {
+        let parent = self.nodes[at].terms.parent;
+        if let Some(place) = self.nodes[at].place.take() {
+            self.nodes[parent].active.remove(&(place, at));
+        }
+        if self.offers_any(at) {
+            let place = (self.nodes[at].over(), rank(self.nodes[at].start));
+            self.nodes[at].place = Some(place);
+            self.nodes[parent].active.insert((place, at));
+        }
+    }
+
+    /// The same for all above it.
+    fn settle(&mut self, mut at: usize) {
+        while at != ROOT {
+            self.replace(at);
+            at = self.nodes[at].terms.parent;
+        }
+    }
+
+    /// Budgets that are no longer used up.
+    fn refilled(&mut self, now: f64) {
+        while let Some(&(due, at)) = self.refills.first().filter(|(due, _)| *due <= rank(now)) {
+            self.refills.remove(&(due, at));
+            if let Some(bucket) = &mut self.nodes[at].bucket {
+                bucket.fill(now);
+                if bucket.empty() {
+                    self.refills.insert((rank(bucket.full_at(now)), at));
+                }
+            }
+            self.replace(at);
+        }
+    }
+
+    /// The next job to try. It is on offer until [`Line::went`], or is put back by [`Line::put_back`].
+    pub fn next(&mut self, now: f64) -> Option<usize> {
+        self.refilled(now);
+        let mut at = ROOT;
+        while let Some(&(_, child)) = self.nodes[at].active.first() {
+            at = child;
+        }
+        let team = at;
+        if self.nodes[team].out >= self.nodes[team].terms.most_out {
+            return None;
+        }
+        let &(_, job) = self.nodes[team].line.first()?;
+        let waiting = self.waiting.remove(&job)?;
+        self.exit(&waiting);
+        let mut path = Vec::new();
+        while at != ROOT {
+            path.push((at, self.nodes[at].start));
+            self.charge(at, waiting.work, now);
+            at = self.nodes[at].terms.parent;
+        }
+        self.nodes[team].out += 1;
+        self.settle(team);
+        self.offers.push(Offer { waiting, path });
+        Some(job)
+    }
+
+    fn charge(&mut self, at: usize, work: f64, now: f64) {
+        let node = &mut self.nodes[at];
+        node.start = (node.start + work / node.terms.weight).max(0.0);
+        if let Some(bucket) = &mut node.bucket {
+            bucket.spend(work, now);
+            if bucket.empty() {
+                self.refills.insert((rank(bucket.full_at(now)), at));
+            }
+        }
+    }
+
+    /// A job on offer was pushed; it stays charged, and those that join from now on join where it stood.
+    pub fn went(&mut self, job: usize, now: f64) {
+        if let Some(at) = self.offers.iter().position(|offer| offer.waiting.job == job) {
+            let Offer { waiting, path } = self.offers.remove(at);
+            for (node, start) in path {
+                let parent = self.nodes[node].terms.parent;
+                let parent = &mut self.nodes[parent];
+                parent.virtual_time = parent.virtual_time.max(start);
+            }
+            self.waits.went(&waiting, now);
+        }
+    }
+
+    /// Those on offer that were not pushed go back into line, and their teams have their charges back.
+    pub fn put_back(&mut self, now: f64) {
+        while let Some(Offer { waiting, path }) = self.offers.pop() {
+            for (at, _) in path {
+                self.charge(at, -waiting.work, now);
+            }
+            self.nodes[waiting.team].out -= 1;
+            self.waiting.insert(waiting.job, waiting);
+            self.enter(&waiting);
+            self.settle(waiting.team);
+        }
+    }
+
+    /// A push of the team's is over: it needed so much work where so much was charged. Who asks for little and needs
+    /// much pays later; who asked for much gets it back.
+    pub fn over(&mut self, team: usize, charged: f64, needed: f64, now: f64) {
+        let team = team.min(self.nodes.len() - 1);
+        let more = needed - charged;
+        let mut at = team;
+        while at != ROOT {
+            let parent = self.nodes[at].terms.parent;
+            let floor = self.nodes[parent].virtual_time;
+            let before = self.nodes[at].start;
+            self.charge(at, more, now);
+            // What comes back must not put it ahead of all that was served since.
+            let node = &mut self.nodes[at];
+            node.start = node.start.max(before.min(floor));
+            at = parent;
+        }
+        self.nodes[team].out = self.nodes[team].out.saturating_sub(1);
+        self.activate(team);
+        self.settle(team);
+    }
+
+    /// A job to displace, if a line is longer than it may be: the last in line, of those that can't have run, of the
+    /// team whose own bound is passed; or, where the bound of all is, of the team with the most work in line for its
+    /// weight. It stays in line until it is taken off by [`Line::leave`].
+    pub fn surplus(&self) -> Option<usize> {
+        let last = |team: usize| self.nodes[team].movable.last().map(|&(_, job)| job);
+        let too_long = |team: usize| {
+            let node = &self.nodes[team];
+            node.queued > node.terms.most_queued
+                || node.queued_work > node.terms.most_queued_work && node.queued > 1
+        };
+        // The longest first: few are looked at, as each that is too long is brought down in turn.
+        let longest = self.longest.iter().rev().map(|&(_, team)| team);
+        if self.waiting.len() > self.most_queued {
+            if let Some(job) = longest.clone().find_map(last) {
+                return Some(job);
+            }
+        }
+        longest.take(16).filter(|team| too_long(*team)).find_map(last)
+    }
+
+    /// Whether the team's own line has grown past its bound.
+    pub fn too_long(&self, team: usize) -> Option<usize> {
+        let node = self.nodes.get(team)?;
+        let passed = node.queued > node.terms.most_queued
+            || node.queued_work > node.terms.most_queued_work && node.queued > 1;
+        passed.then(|| node.movable.last().map(|&(_, job)| job)).flatten()
+    }
+
+    /// When [`Line::next`] may have something though nothing else happens: a budget is no longer used up.
+    pub fn due(&self) -> f64 {
+        self.refills.first().map_or(f64::INFINITY, |&(at, _)| f64::from_bits(at))
+    }
+
+    /// The share of all that goes through which this team has while those wait that wait now.
+    fn share(&self, team: usize) -> f64 {
+        let mut share = 1.0;
+        let mut at = team;
+        while at != ROOT {
+            let parent = self.nodes[at].terms.parent;
+            let siblings = &self.nodes[parent].active;
+            // A count that is bounded: of very many siblings the first ones stand for all.
+            let looked: Vec<usize> = siblings.iter().take(64).map(|&(_, child)| child).collect();
+            let weigh = |child: &usize| self.nodes[*child].terms.weight;
+            let others: f64 = looked.iter().filter(|child| **child != at).map(weigh).sum();
+            let scale = siblings.len().max(1) as f64 / looked.len().max(1) as f64;
+            let own = self.nodes[at].terms.weight;
+            share *= own / (own + others * scale.max(1.0));
+            at = parent;
+        }
+        share
+    }
+
+    /// How long this job will wait from now to its first push, as far as can be told.
+    pub fn wait_of(&self, job: usize, now: f64) -> Option<Wait> {
+        let waiting = self.waiting.get(&job)?;
+        let key = self.key(waiting);
+        let line = &self.nodes[waiting.team].line;
+        // Work ahead in its own line: exact for the first ones, by the mean for the rest.
+        let ahead = line.range(..key).take(256).filter_map(|(_, job)| self.waiting.get(job));
+        let (count, work) = ahead.fold((0usize, 0.0), |(count, work), one| (count + 1, work + one.work));
+        let work = if count == 256 { self.nodes[waiting.team].queued_work.max(work) } else { work };
+        self.waits.estimate(waiting, work, self.share(waiting.team), now)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/queue/src/tests.rs
@@ -0,0 +1,364 @@
+//! The line in virtual time before a server of known speed, one story for each trouble.
+
+use super::*;
+use proptest::prelude::*;
+
+/// A server that takes work at `speed`, one job at a time, and a line before it.
+struct World {
+    line: Line,
+    now: f64,
+    speed: f64,
+    free_at: f64,
+    next: usize,
+    jobs: BTreeMap<usize, (usize, f64, f64)>,
+    /// By team: the work that went through.
+    had: Vec<f64>,
+    waits: Vec<Vec<f64>>,
+}
+
+fn team(weight: f64) -> Terms {
+    Terms { weight, ..Terms::default() }
+}
+
+fn teams(weights: &[f64]) -> Vec<Terms> {
+    [Terms::default()].into_iter().chain(weights.iter().map(|weight| team(*weight))).collect()
+}
+
+impl World {
+    fn new(teams: Vec<Terms>) -> World {
+        let count = teams.len();
+        World {
+            line: Line::new(teams, 0.0),
+            now: 0.0,
+            speed: 1.0,
+            free_at: 0.0,
+            next: 0,
+            jobs: BTreeMap::new(),
+            had: vec![0.0; count],
+            waits: vec![Vec::new(); count],
+        }
+    }
+
+    fn arrives(&mut self, team: usize, work: f64) -> usize {
+        let job = self.next;
+        self.next += 1;
+        let waiting = Waiting { job, team, density: 1.0 / work, work, since: self.now, never_ran: true };
+        self.jobs.insert(job, (team, work, self.now));
+        self.line.hold(waiting, self.now);
+        job
+    }
+
+    /// Serves until then.
+    fn run(&mut self, until: f64) {
+        loop {
+            if self.free_at > until {
+                self.now = until;
+                return;
+            }
+            self.now = self.now.max(self.free_at);
+            let Some(job) = self.line.next(self.now) else {
+                // Only a budget can make it go on by itself; teams over theirs are served all the same.
+                self.now = until;
+                return;
+            };
+            self.line.went(job, self.now);
+            let (team, work, since) = self.jobs.remove(&job).unwrap();
+            self.waits[team].push(self.now - since);
+            self.had[team] += work;
+            self.free_at = self.now + work / self.speed;
+            self.line.over(team, work, work, self.free_at);
+        }
+    }
+
+    fn fill(&mut self, team: usize, jobs: usize, work: f64) {
+        (0..jobs).for_each(|_| drop(self.arrives(team, work)));
+    }
+}
+
+#[test]
+fn one_team_alone_goes_densest_first_and_a_job_that_does_not_go_stays_in_its_place() {
+    let mut line = Line::single();
+    for (job, density) in [(1, 2.0), (2, 9.0), (3, 5.0)] {
+        line.hold(Waiting { job, team: 0, density, work: 1.0, since: 0.0, never_ran: true }, 0.0);
+    }
+    assert_eq!(
+        [line.next(0.0), line.next(0.0), line.next(0.0), line.next(0.0)],
+        [Some(2), Some(3), Some(1), None]
+    );
+    line.went(3, 0.0);
+    line.put_back(0.0);
+    assert_eq!((line.len(), line.next(0.0), line.next(0.0)), (2, Some(2), Some(1)));
+}
+
+#[test]
+fn teams_that_always_wait_have_work_by_their_weights_whatever_their_jobs_weigh() {
+    let mut world = World::new(teams(&[3.0, 1.0, 1.0]));
+    // The second has jobs of fifty times the first one's work.
+    world.fill(1, 4000, 0.02);
+    world.fill(2, 100, 1.0);
+    world.fill(3, 1000, 0.1);
+    world.run(50.0);
+    let [_, first, second, third] = world.had[..] else { panic!() };
+    assert!((first / second - 3.0).abs() < 0.2 && (third / second - 1.0).abs() < 0.1, "{:?}", world.had);
+}
+
+#[test]
+fn groups_share_first_and_their_teams_share_what_the_group_has() {
+    let mut tree = teams(&[1.0, 1.0]);
+    tree.extend([Terms { parent: 1, ..team(1.0) }, Terms { parent: 1, ..team(3.0) }]);
+    let mut world = World::new(tree);
+    world.fill(2, 2000, 0.05);
+    world.fill(3, 2000, 0.05);
+    world.fill(4, 2000, 0.05);
+    world.run(40.0);
+    assert!((world.had[2] - 20.0).abs() < 0.5 && (world.had[3] - 5.0).abs() < 0.5, "{:?}", world.had);
+}
+
+/// Hard case: one team sends ten times its share.
+#[test]
+fn a_greedy_team_waits_behind_itself_and_costs_others_next_to_nothing() {
+    let mut world = World::new(teams(&[1.0, 1.0]));
+    // 0.4 of the server by the modest one, 5 times the server by the greedy one.
+    for step in 0..2000 {
+        world.run(f64::from(step) * 0.05);
+        world.fill(1, 25, 0.01);
+        if step % 5 == 0 {
+            world.fill(2, 1, 0.1);
+        }
+    }
+    let modest = world.waits[2].iter().copied().fold(0.0, f64::max);
+    let greedy = world.waits[1].iter().copied().fold(0.0, f64::max);
+    assert!(modest < 0.25 && greedy > 10.0, "{modest} {greedy}");
+}
+
+/// Hard case: a team that was idle for long comes back with a burst.
+#[test]
+fn who_was_idle_has_saved_nothing() {
+    let mut world = World::new(teams(&[1.0, 1.0]));
+    for step in 0..1000 {
+        world.run(f64::from(step) * 0.1);
+        world.fill(1, 2, 0.1);
+    }
+    let before = world.had[1];
+    world.fill(2, 1000, 0.1);
+    world.run(world.now + 20.0);
+    let (first, second) = (world.had[1] - before, world.had[2]);
+    assert!((second - 10.0).abs() < 0.5 && (first - 10.0).abs() < 0.5, "{first} {second}");
+}
+
+#[test]
+fn what_is_over_budget_goes_after_the_others_and_before_nobody() {
+    let mut tree = teams(&[1.0, 1.0]);
+    tree[1].budget = Some((0.2, 1.0));
+    let mut world = World::new(tree);
+    world.fill(1, 2000, 0.05);
+    world.fill(2, 800, 0.05);
+    world.run(40.0);
+    // A second saved up and a fifth of the time.
+    assert!((world.had[1] - 9.0).abs() < 0.6, "{:?}", world.had);
+    // The other one is done after some 49 s: what it leaves is lent.
+    world.run(80.0);
+    assert!(world.had[2] > 39.0 && world.had[1] > 38.0, "{:?}", world.had);
+}
+
+/// Hard case: a budget smaller than one job.
+#[test]
+fn a_budget_smaller_than_one_job_lets_one_through_and_then_waits() {
+    let mut tree = teams(&[1.0, 1.0]);
+    tree[1].budget = Some((0.1, 0.5));
+    let mut world = World::new(tree);
+    world.fill(1, 100, 2.0);
+    world.fill(2, 10_000, 0.01);
+    world.run(60.0);
+    // 0.5 saved up and 6 earned: three or four jobs of two.
+    assert!((6.0..=8.0).contains(&world.had[1]), "{:?}", world.had);
+}
+
+/// Hard case: estimates of work that are wrong by ten times.
+#[test]
+fn who_asks_for_little_and_needs_much_pays_later() {
+    let mut line = Line::new(teams(&[1.0, 1.0]), 0.0);
+    let mut had = [0.0, 0.0, 0.0];
+    let mut next = 0;
+    for round in 0..2000 {
+        let now = f64::from(round);
+        for team in [1, 2] {
+            while line.of(team).0 < 3 {
+                let work = if team == 1 { 0.1 } else { 1.0 };
+                line.hold(Waiting { job: next, team, density: 1.0, work, since: now, never_ran: true }, now);
+                next += 1;
+            }
+        }
+        let job = line.next(now).unwrap();
+        line.went(job, now);
+        // The first one's jobs need ten times what they say: all need the same.
+        let team = if line.of(1).2 > 0 { 1 } else { 2 };
+        had[team] += 1.0;
+        line.over(team, if team == 1 { 0.1 } else { 1.0 }, 1.0, now);
+    }
+    assert!((had[1] / had[2] - 1.0).abs() < 0.05, "{had:?}");
+}
+
+#[test]
+fn aged_jobs_go_before_denser_ones_that_came_much_later() {
+    let with = |ageing| {
+        let mut world = World::new(vec![Terms { ageing, ..Terms::default() }]);
+        let old = world.arrives(0, 1.0);
+        for step in 0..200 {
+            world.run(f64::from(step) * 0.1);
+            world.fill(0, 3, 0.05);
+        }
+        (world.jobs.contains_key(&old), world.now)
+    };
+    assert!(with(None).0, "the densest first starves it");
+    assert!(!with(Some(1.0)).0);
+}
+
+#[test]
+fn a_line_that_is_too_long_displaces_its_last_that_never_ran() {
+    let mut tree = teams(&[1.0, 1.0]);
+    tree[1].most_queued = 3;
+    let mut line = Line::new(tree, 0.0);
+    let hold = |line: &mut Line, job: usize, team, never_ran| {
+        line.hold(Waiting { job, team, density: 1.0, work: 1.0, since: 0.0, never_ran }, 0.0);
+    };
+    (0..3).for_each(|job| hold(&mut line, job, 1, true));
+    (10..30).for_each(|job| hold(&mut line, job, 2, true));
+    assert_eq!((line.too_long(1), line.surplus()), (None, None));
+    // The last one may have run: the one before it goes.
+    hold(&mut line, 3, 1, false);
+    assert_eq!((line.too_long(1), line.surplus()), (Some(2), Some(2)));
+    line.leave(2, 0.0);
+    assert_eq!((line.surplus(), line.len()), (None, 23));
+    // All may have run: nobody is displaced, however long it is.
+    let mut line = Line::new(vec![Terms { most_queued: 2, ..Terms::default() }], 0.0);
+    (0..9).for_each(|job| hold(&mut line, job, 0, false));
+    assert_eq!(line.surplus(), None);
+}
+
+#[test]
+fn the_bound_of_all_takes_from_the_longest_line_for_its_weight() {
+    let mut tree = teams(&[1.0, 4.0]);
+    tree[0].most_queued = 10;
+    let mut line = Line::new(tree, 0.0);
+    for job in 0..12 {
+        let team = 1 + job % 2;
+        line.hold(Waiting { job, team, density: 1.0, work: 1.0, since: 0.0, never_ran: true }, 0.0);
+    }
+    let mut gone = Vec::new();
+    while let Some(job) = line.surplus() {
+        line.leave(job, 0.0);
+        gone.push(job % 2);
+    }
+    assert_eq!(gone, [0, 0]);
+}
+
+#[test]
+fn a_team_has_no_more_out_than_it_may_and_goes_on_when_one_is_over() {
+    let mut tree = teams(&[1.0, 1.0]);
+    tree[1].most_out = 2;
+    let mut line = Line::new(tree, 0.0);
+    for job in 0..5 {
+        line.hold(Waiting { job, team: 1, density: 1.0, work: 1.0, since: 0.0, never_ran: true }, 0.0);
+    }
+    let mut went = Vec::new();
+    while let Some(job) = line.next(0.0) {
+        line.went(job, 0.0);
+        went.push(job);
+    }
+    assert_eq!(went, [0, 1]);
+    line.over(1, 1.0, 1.0, 0.0);
+    assert_eq!((line.next(0.0), line.next(0.0)), (Some(2), None));
+}
+
+#[test]
+fn estimates_come_true_on_a_steady_server_and_none_is_made_while_it_is_silent() {
+    let mut world = World::new(teams(&[1.0, 1.0]));
+    world.speed = 4.0;
+    for step in 0..4000 {
+        world.run(f64::from(step) * 0.02);
+        // Together a tenth more than it does, so that lines grow slowly.
+        for team in [1, 2] {
+            let job = world.arrives(team, 0.044);
+            let wait = world.line.wait_of(job, world.now);
+            world.line.waits.told(job, wait, world.now);
+        }
+    }
+    let waits = &world.line.waits;
+    let share = waits.within_a_fifth as f64 / waits.compared as f64;
+    assert!(waits.compared > 2000 && share > 0.9, "{share} of {}", waits.compared);
+    // The server falls silent: nothing can be told.
+    let job = world.arrives(1, 0.044);
+    assert!(world.line.wait_of(job, world.now + 0.5).is_some());
+    assert!(world.line.wait_of(job, world.now + 3.0).is_none());
+}
+
+proptest! {
+    /// Whatever comes and goes: no job is lost or offered twice, counts add up, and what never was offered can be.
+    #[test]
+    fn no_job_is_lost_or_offered_twice(steps in proptest::collection::vec((0u8..6, 0usize..5, 1u32..100), 1..300)) {
+        let mut tree = teams(&[1.0, 2.0]);
+        tree.extend([Terms { parent: 1, most_out: 2, ..team(1.0) }, Terms { parent: 1, budget: Some((0.5, 1.0)), ..team(2.0) }]);
+        tree.push(Terms { parent: 2, ageing: Some(1.0), ..team(1.0) });
+        let leaves = [3, 4, 5];
+        let mut line = Line::new(tree, 0.0);
+        let (mut waiting, mut offered, mut out) = (BTreeSet::new(), Vec::new(), Vec::new());
+        let (mut now, mut next) = (0.0, 0);
+        for (what, which, work) in steps {
+            now += 0.1;
+            let work = f64::from(work) / 50.0;
+            match what {
+                0 | 1 => {
+                    let team = leaves[which % 3];
+                    line.hold(Waiting { job: next, team, density: 1.0 / work, work, since: now, never_ran: true }, now);
+                    waiting.insert((next, team, work.to_bits()));
+                    next += 1;
+                }
+                2 => {
+                    if let Some(job) = line.next(now) {
+                        let entry = *waiting.iter().find(|entry| entry.0 == job).expect("in line, and not on offer");
+                        waiting.remove(&entry);
+                        offered.push(entry);
+                    }
+                }
+                3 if !offered.is_empty() => {
+                    let entry = offered.remove(which % offered.len());
+                    line.went(entry.0, now);
+                    out.push(entry);
+                }
+                4 => {
+                    line.put_back(now);
+                    waiting.extend(offered.drain(..));
+                }
+                5 if !out.is_empty() => {
+                    let (_, team, work) = out.remove(which % out.len());
+                    line.over(team, f64::from_bits(work), f64::from_bits(work) * 3.0, now);
+                }
+                _ => {
+                    if let Some(entry) = waiting.iter().nth(which).copied() {
+                        waiting.remove(&entry);
+                        line.leave(entry.0, now);
+                        // What was on offer may have gone back: it did if this one was; here it was not.
+                    }
+                }
+            }
+            prop_assert_eq!(line.len(), waiting.len() + offered.len());
+            for team in leaves {
+                let count = waiting.iter().filter(|entry| entry.1 == team).count();
+                let gone = out.iter().chain(&offered).filter(|entry| entry.1 == team).count();
+                prop_assert_eq!((line.of(team).0, line.of(team).2), (count, gone));
+            }
+        }
+        // All that is left goes, once those that are out are over and budgets are earned.
+        line.put_back(now);
+        waiting.extend(offered);
+        out.into_iter().for_each(|(_, team, work)| line.over(team, f64::from_bits(work), 0.0, now));
+        while let Some(job) = line.next(now) {
+            line.went(job, now);
+            let entry = *waiting.iter().find(|entry| entry.0 == job).expect("in line");
+            waiting.remove(&entry);
+            line.over(entry.1, f64::from_bits(entry.2), f64::from_bits(entry.2), now);
+        }
+        prop_assert!(waiting.is_empty() && line.is_empty(), "{:?} left", waiting);
+    }
+}
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -489,7 +489,8 @@
         };
         let engines = &mut self.desk.engines;
         if known.is_none() {
-            log::info!("engine {at} is {} at {}", entry.uid, entry.address);
+            let (uid, address) = (entry.uid.as_str(), entry.address);
+            log::info!(engine = at, uid = uid, address:% = address; "engine {at} is {uid} at {address}");
             self.next_engine += 1;
             let engine = Engine { uid: entry.uid, number: self.next_engine, address: entry.address, listing };
             match engines.get_mut(at) {
--- a/crates/router/src/transport/board.rs
+++ b/crates/router/src/transport/board.rs
@@ -114,7 +114,7 @@
         // Told once for as long as it stays away.
         let level =
             if std::mem::replace(&mut self.away, true) { log::Level::Debug } else { log::Level::Warn };
-        log::log!(level, "notice board lost: {why}; the list of event {} stands", self.last);
+        log::log!(level, event = self.last; "notice board lost: {why}; the list of event {} stands", self.last);
         (self.state, self.readable) = (State::Down { retry_at: now + RETRY }, false);
         self.wire.take().map(|(token, _)| token)
     }
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -28,7 +28,7 @@
 use std::os::fd::AsFd;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Sessions and links are looked over so often for what has stalled.
 const SWEEP: f64 = 0.05;
@@ -192,6 +192,7 @@
     longest_job: f64,
     reread: Rereads,
     speaker: Option<Speaker>,
+    steady: Steady,
     reread_service: Option<Box<dyn Fn() -> Result<ServiceFile, String>>>,
     /// Jobs answered in time of late, and when the decisions last failed.
     recent: Recent,
@@ -224,6 +225,21 @@
     }
 }
 
+/// The speaker's clock: sessions and what is announced must not depend on how the Unix clock is set, either way. Seconds
+/// since the start.
+struct Steady(Instant);
+
+impl Steady {
+    fn read(&self) -> f64 {
+        self.0.elapsed().as_secs_f64()
+    }
+
+    /// A due time on this clock, on the Unix one that reads `unix` when this one reads `steady`.
+    fn on_unix(due: f64, steady: f64, unix: f64) -> f64 {
+        unix + (due - steady).max(0.0)
+    }
+}
+
 /// Serves until it is told to stop and every job has its answer.
 pub fn serve(
     place: Place,
@@ -246,7 +262,7 @@
     let (speaker, reread_service) = match announcing {
         None => (None, None),
         Some(Announcing { file, seed, reread }) => {
-            (Some(Speaker::open(&handle, file, seed, now)?), Some(reread))
+            (Some(Speaker::open(&handle, file, seed, 0.0)?), Some(reread))
         }
     };
     let mut server = Server {
@@ -264,6 +280,7 @@
         longest_job,
         reread,
         speaker,
+        steady: Steady(Instant::now()),
         reread_service,
         recent: Recent::default(),
         failed: (0, f64::NEG_INFINITY),
@@ -310,8 +327,14 @@
                 }
                 Source::Link(id) => self.net.links.work(id, readiness.readable, now),
                 Source::Board => self.board(readiness.readable, now),
-                Source::Speaker(id) => self.speaker.iter_mut().for_each(|one| one.ready(id, readiness, now)),
-                Source::SpeakerListener => self.speaker.iter_mut().for_each(|one| one.accept(now)),
+                Source::Speaker(id) => {
+                    let steady = self.steady.read();
+                    self.speaker.iter_mut().for_each(|one| one.ready(id, readiness, steady));
+                }
+                Source::SpeakerListener => {
+                    let steady = self.steady.read();
+                    self.speaker.iter_mut().for_each(|one| one.accept(steady));
+                }
             }
         }
         // Last, as those that are closed for room must have nothing unread.
@@ -332,7 +355,7 @@
             self.net.sessions.tell(&counters, now);
         }
         if !self.net.sessions.asking.is_empty() {
-            let rows = self.speaker.as_ref().map(|speaker| speaker.status(now));
+            let rows = self.speaker.as_ref().map(|speaker| speaker.status(self.steady.read()));
             self.net.sessions.tell_announcements(rows, now);
         }
         if !self.serving && self.routing.ready() {
@@ -351,6 +374,7 @@
         counters.latest_wake_us = counters.latest_wake_us.max(overslept);
         let stop = self.stopping.map_or(f64::INFINITY, |(at, last)| if now < at { at } else { last });
         let speaker = self.speaker.as_ref().map_or(f64::INFINITY, Speaker::due);
+        let speaker = Steady::on_unix(speaker, self.steady.read(), now);
         let due = [wake, self.sweep_at, self.board.due(), self.net.links.due(), stop, speaker];
         let at_once = !self.again.is_empty() || self.net.links.has_ended();
         self.wake = if at_once { now } else { due.into_iter().fold(now + BEAT, f64::min) };
@@ -376,12 +400,13 @@
         }
         if self.stopping.is_none() {
             let last = now + self.longest_job.min(LONGEST_GIVEN) + KILLED_AFTER - STOP_MARGIN;
-            log::info!("{signal:?}: stopping, {} jobs open", self.routing.open());
+            let open = self.routing.open();
+            log::info!(jobs = open, signal:? = signal; "{signal:?}: stopping, {open} jobs open");
             self.routing.stop_at(last);
             // Nothing new within the second, whatever routing peers do; what is announced goes at once.
             self.routing.takes_until(now + NEW_WORK);
             if let Some(speaker) = &mut self.speaker {
-                speaker.drain(now);
+                speaker.drain(self.steady.read());
             }
             self.stopping = Some((now + STILL_COMING, last));
         }
@@ -407,14 +432,14 @@
     /// The speaker's turn; what it says goes out before this turn's jobs are weighed.
     fn announce(&mut self, now: f64) {
         let Some(mut speaker) = self.speaker.take() else { return };
-        speaker.turn(now, || self.readings(now));
+        speaker.turn(self.steady.read(), || self.readings(now));
         self.speaker = Some(speaker);
     }
 
-    fn new_service_file(&mut self, now: f64) {
+    fn new_service_file(&mut self) {
         let (Some(speaker), Some(reread)) = (&mut self.speaker, &self.reread_service) else { return };
         match reread() {
-            Ok(file) => speaker.change(file, now),
+            Ok(file) => speaker.change(file, self.steady.read()),
             Err(why) => {
                 self.counters.reloads_refused += 1;
                 log::warn!("the service file is not taken, the running one stands: {why}");
@@ -425,7 +450,7 @@
     /// A configuration that can't be used changes nothing.
     fn new_configuration(&mut self, now: f64) {
         self.counters.reloads += 1;
-        self.new_service_file(now);
+        self.new_service_file();
         match (self.reread)() {
             Ok(Reread { board, known }) => {
                 let token = self.board.told_anew(board, known, now, &mut self.news.lists);
@@ -446,8 +471,9 @@
         let done = self.routing.open() == 0 && self.net.sessions.unsent() == 0;
         let late = now >= last + STOP_MARGIN / 2.0;
         let Some(speaker) = &mut self.speaker else { return now >= at && done || late };
-        let ready = now >= at && done && (speaker.cleared(now) || now >= last);
-        late || ready && speaker.farewell(now)
+        let steady = self.steady.read();
+        let ready = now >= at && done && (speaker.cleared(steady) || now >= last);
+        late || ready && speaker.farewell(steady)
     }
 
     fn board(&mut self, readable: bool, now: f64) {
@@ -484,7 +510,17 @@
 
 #[cfg(test)]
 mod tests {
-    use super::Clock;
+    use super::{Clock, Steady};
+
+    /// Hard case: the Unix clock is set while sessions run; no hold time ends sooner or later for it.
+    #[test]
+    fn a_due_time_of_the_speaker_is_as_far_away_whatever_the_unix_clock_says() {
+        for unix in [0.0, 1e9, 1e9 + 3600.0, 1e9 - 3600.0] {
+            assert_eq!(Steady::on_unix(12.5, 10.0, unix), unix + 2.5);
+        }
+        assert_eq!(Steady::on_unix(9.0, 10.0, 1e9), 1e9);
+        assert_eq!(Steady::on_unix(f64::INFINITY, 10.0, 1e9), f64::INFINITY);
+    }
 
     #[test]
     fn a_clock_that_is_set_back_holds_nothing_up() {
