Line by team: an adaptive limit whose best pace is measured anew each window

Change: the best pace is that of two windows of 10 s, each begun with a smaller limit where the limit is used up.

--- a/crates/queue/src/adapt.rs
+++ b/crates/queue/src/adapt.rs
@@ -8,8 +8,9 @@
     limit: f64,
     least: f64,
     most: f64,
-    /// The best pace of late, which slowly grows, so that an old best does not hold for ever.
-    best: Option<f64>,
+    /// The best paces of this window and the one before: an old best does not hold for ever.
+    best: [f64; 2],
+    window_ends: f64,
     /// The pace of late.
     pace: Option<f64>,
     last_cut: f64,
@@ -21,13 +22,17 @@
     const MANY: f64 = 6.0;
     /// Seconds between cuts: what a cut does must be seen before the next.
     const REST: f64 = 0.5;
+    /// Seconds of a window. Each begins with a smaller limit, so that the best pace shows again.
+    const WINDOW: f64 = 10.0;
+    const PROBE: f64 = 0.8;
 
     pub fn new(start: f64, least: f64, most: f64) -> Adaptive {
         Adaptive {
             limit: start.clamp(least, most),
             least,
             most,
-            best: None,
+            best: [f64::INFINITY; 2],
+            window_ends: f64::NEG_INFINITY,
             pace: None,
             last_cut: f64::NEG_INFINITY,
         }
@@ -40,18 +45,25 @@
     /// One was answered at this pace, or was not (none), with so many out.
     pub fn answered(&mut self, pace: Option<f64>, out: usize, now: f64) {
         let Some(pace) = pace.filter(|pace| pace.is_finite() && *pace > 0.0) else {
-            // Lost or late: twice in a row costs a quarter.
+            // Lost or late: a cut, whatever the pace of others.
             if now >= self.last_cut + Adaptive::REST {
                 (self.limit, self.last_cut) = ((self.limit * 0.875).max(self.least), now);
             }
             return;
         };
-        let best = self.best.map_or(pace, |best| (best * 1.0005).min(pace));
-        let mean = self.pace.map_or(pace, |mean| 0.9 * mean + 0.1 * pace);
-        (self.best, self.pace) = (Some(best), Some(mean));
-        let waits = self.limit * (1.0 - best / mean);
         // An unused limit says nothing of what engines take.
         let used = out as f64 + 1.0 >= 0.8 * self.limit;
+        if now >= self.window_ends {
+            if self.window_ends.is_finite() && used {
+                self.limit = (self.limit * Adaptive::PROBE).max(self.least);
+            }
+            (self.best, self.window_ends) = ([self.best[1], f64::INFINITY], now + Adaptive::WINDOW);
+        }
+        self.best[1] = self.best[1].min(pace);
+        let best = self.best[0].min(self.best[1]);
+        let mean = self.pace.map_or(pace, |mean| 0.9 * mean + 0.1 * pace);
+        self.pace = Some(mean);
+        let waits = self.limit * (1.0 - best / mean);
         if waits < Adaptive::FEW && used {
             self.limit = (self.limit + 1.0 / self.limit.max(1.0)).min(self.most);
         } else if waits > Adaptive::MANY && now >= self.last_cut + Adaptive::REST {
--- a/crates/queue/src/tests.rs
+++ b/crates/queue/src/tests.rs
@@ -71,7 +71,9 @@
     }
 
     fn fill(&mut self, team: usize, jobs: usize, work: f64) {
-        (0..jobs).for_each(|_| drop(self.arrives(team, work)));
+        (0..jobs).for_each(|_| {
+            self.arrives(team, work);
+        });
     }
 }
 
@@ -178,7 +180,7 @@
 #[test]
 fn who_asks_for_little_and_needs_much_pays_later() {
     let mut line = Line::new(teams(&[1.0, 1.0]), 0.0);
-    let mut had = [0.0, 0.0, 0.0];
+    let mut had = [0.0f64; 3];
     let mut next = 0;
     for round in 0..2000 {
         let now = f64::from(round);
@@ -203,6 +205,7 @@
 fn aged_jobs_go_before_denser_ones_that_came_much_later() {
     let with = |ageing| {
         let mut world = World::new(vec![Terms { ageing, ..Terms::default() }]);
+        world.fill(0, 10, 0.05);
         let old = world.arrives(0, 1.0);
         for step in 0..200 {
             world.run(f64::from(step) * 0.1);
