--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -4,6 +4,7 @@
 use base64::{engine::general_purpose::STANDARD, Engine as _};
 use cleatgw::logic::Gateway;
 use cleatgw::{Ending, Listing, Load, Note, PushEnd, Stage, Taken, Writer};
+use cleatgw_operator::{TeamNames, TeamsFile};
 use cleatgw_start::{self as start, name_hash, Complaint, Names, Pairs};
 use std::collections::HashMap;
 use std::fmt::Write as _;
@@ -54,6 +55,7 @@
     gateway: Gateway,
     names: Names,
     ids: Ids,
+    teams: Option<TeamNames>,
 }
 
 /// Encodes one instance's decisions as they are made.
@@ -160,6 +162,8 @@
     /// The sheet being filled, and how many entries it still lacks.
     filling: Option<(u64, u64)>,
     faults: String,
+    /// Who shares the engines, where the operator says so.
+    pub teams: Option<TeamsFile>,
 }
 
 impl Host {
@@ -224,8 +228,13 @@
                 let read = start::read(&Pairs::from_words(fields.remainder()));
                 let (deployment, names) =
                     read.map_err(|Complaint(words)| Complaint(format!("BEGIN: {words}")))?;
-                let gateway = Gateway::new(deployment, seed, self.now);
-                let instance = Instance { gateway, names, ids: Ids::default() };
+                let mut gateway = Gateway::new(deployment, seed, self.now);
+                let teams = self.teams.as_ref().map(|file| {
+                    let (line, teams) = file.line(self.now, &names.categories);
+                    gateway.teams(self.now, line, &|_| 0);
+                    teams
+                });
+                let instance = Instance { gateway, names, ids: Ids::default(), teams };
                 self.instances.insert(name.to_string(), instance);
             }
             "KILLED" => {
@@ -432,7 +441,8 @@
     fn call(&mut self, now: f64, fields: &mut Fields) -> Result<(), Complaint> {
         let request = fields.whole("req")?;
         let cost = fields.maybe::<u64>("plan-cost-us", "a whole number")?;
-        fields.text(); // the tenant, which no decision asks for
+        let tenant = fields.text();
+        let team = self.teams.as_ref().map_or(0, |teams| teams.of(tenant));
         let key = fields.text();
         let key = match key {
             None => None,
@@ -460,6 +470,7 @@
             cost: cost.filter(|&cost| bits & 1 == 1 && cost > 0).map(seconds),
             memory_mb: memory.filter(|&memory| memory > 0.0),
             cut_off,
+            team,
         };
         self.gateway.job_taken(now, job, taken);
         Ok(())
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -3,11 +3,13 @@
 mod host;
 mod wire;
 
+use cleatgw_operator::TeamsFile;
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
-fn serve(input: &mut dyn BufRead, output: &mut dyn Write) -> Result<(), String> {
+fn serve(input: &mut dyn BufRead, output: &mut dyn Write, teams: Option<TeamsFile>) -> Result<(), String> {
     let mut host = host::Host::default();
+    host.teams = teams;
     let mut text = Vec::new();
     let mut number = 0;
     loop {
@@ -30,10 +32,24 @@
     Ok(())
 }
 
+/// The operator's teams, where `--teams FILE` names them.
+fn teams() -> Result<Option<TeamsFile>, String> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match &arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+        [] => Ok(None),
+        ["--teams", path] => {
+            let text = std::fs::read_to_string(path).map_err(|error| format!("{path}: {error}"))?;
+            cleatgw_operator::read_teams(&text).map(Some).map_err(|wrong| format!("{path}: {}", wrong.0))
+        }
+        other => Err(format!("expected --teams FILE or nothing, got {}", other.join(" "))),
+    }
+}
+
 fn main() -> ExitCode {
     // A panic in the decisions goes out as the wire's fault report, not as a trace.
     std::panic::set_hook(Box::new(|_| {}));
-    match serve(&mut io::stdin().lock(), &mut io::stdout().lock()) {
+    let done = teams().and_then(|teams| serve(&mut io::stdin().lock(), &mut io::stdout().lock(), teams));
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(complaint) => {
             eprintln!("cleatgw-adapter: {complaint}");
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,5 +4,8 @@
 pub mod far;
 pub mod flap;
 pub mod fleet;
+pub mod line;
 pub mod peering;
+pub mod shared;
 pub mod standins;
+pub mod teams;
--- /dev/null
+++ b/crates/lab/src/line.rs
@@ -0,0 +1,51 @@
+//! What the line costs as jobs and teams grow.
+
+use cleatgw_queue::{Line, Terms, Waiting};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{json, Value};
+use std::time::Instant;
+
+/// Nanoseconds for one job's whole way (held, estimated, offered, pushed, over) with so many in line of so many teams.
+fn cost(jobs: usize, teams: usize, seed: u64) -> f64 {
+    let mut chance = SmallRng::seed_from_u64(seed);
+    let leaf =
+        |at: usize| Terms { weight: 1.0 + (at % 7) as f64, budget: Some((0.5, 2.0)), ..Terms::default() };
+    let mut line = Line::new([Terms::default()].into_iter().chain((0..teams).map(leaf)).collect(), 0.0);
+    let mut next = 0;
+    let mut come = |line: &mut Line, now: f64| {
+        let (team, work) = (1 + chance.random_range(0..teams), chance.random_range(0.01..1.0));
+        let density = 1.0 / work;
+        line.hold(Waiting { job: next, team, category: 0, density, work, since: now, never_ran: true }, now);
+        next += 1;
+        (next - 1, team, work)
+    };
+    for _ in 0..jobs {
+        come(&mut line, 0.0);
+    }
+    let rounds = 20_000;
+    let began = Instant::now();
+    for round in 0..rounds {
+        let now = f64::from(round) * 1e-3;
+        let (job, team, work) = come(&mut line, now);
+        let wait = line.wait_of(job, now);
+        line.waits.told(job, wait, now);
+        if let Some(job) = line.next(now) {
+            line.went(job, now);
+            line.over(team, work, work * 1.1, now);
+        }
+        // One more that does not fit, as the module tries some in vain.
+        line.next(now);
+        line.put_back(now);
+    }
+    began.elapsed().as_secs_f64() * 1e9 / f64::from(rounds)
+}
+
+pub fn measure(jobs: usize, teams: usize, seed: u64) -> Value {
+    let steps = [(100, 10), (1000, 100), (10_000, 1000), (jobs, teams)];
+    let costs: Vec<Value> = steps
+        .into_iter()
+        .map(|(jobs, teams)| json!({ "jobs": jobs, "teams": teams, "ns_a_job": cost(jobs, teams, seed).round() }))
+        .collect();
+    json!({ "costs": costs })
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,13 +1,15 @@
 //! `cleatgw-lab`: measurements that the kit's benches can't show. The last line of each is one JSON object.
 
 use bpaf::{construct, long, OptionParser, Parser};
-use cleatgw_lab::{drain, flap, fleet};
+use cleatgw_lab::{drain, flap, fleet, line, teams};
 use std::path::PathBuf;
 
 enum Command {
     Drain { runs: usize, seed: u64, program: PathBuf },
     Flap { minutes: f64, per_minute: f64, seed: u64, program: PathBuf },
     Fleet { routers: usize, seed: u64, plot: Option<PathBuf> },
+    Line { jobs: usize, teams: usize, seed: u64 },
+    Teams { scenario: String, seed: u64, seconds: f64, plot: Option<PathBuf>, program: PathBuf },
 }
 
 /// The router that was built beside us.
@@ -49,7 +51,26 @@
     };
     let fleet =
         fleet.to_options().descr("Many announcers under shared failures, in virtual time").command("fleet");
-    construct!([drain, flap, fleet]).to_options().descr("The laboratory: loopback and virtual time only")
+    let teams = {
+        let scenario =
+            long("scenario").help("greedy, silent, greedy+silent, return, heavy-light or overload");
+        let scenario = scenario.argument::<String>("NAME").fallback("greedy".to_string());
+        let seconds = long("seconds").help("How long each run lasts").argument::<f64>("S").fallback(10.0);
+        let plot = long("plot").help("Where the plot goes, an SVG").argument::<PathBuf>("FILE").optional();
+        let (seed, program) = (seed(), program());
+        construct!(Command::Teams { scenario, seed, seconds, plot, program })
+    };
+    let teams = teams.to_options().descr("Teams that share engines through one router").command("teams");
+    let line = {
+        let jobs = long("jobs").help("Jobs in line").argument::<usize>("N").fallback(100_000);
+        let teams = long("teams").help("Teams").argument::<usize>("N").fallback(10_000);
+        let seed = seed();
+        construct!(Command::Line { jobs, teams, seed })
+    };
+    let line = line.to_options().descr("What the line costs as jobs and teams grow").command("line");
+    construct!([drain, flap, fleet, teams, line])
+        .to_options()
+        .descr("The laboratory: loopback and virtual time only")
 }
 
 fn main() {
@@ -58,6 +79,12 @@
         Command::Flap { minutes, per_minute, seed, program } => {
             flap::measure(&program, minutes.clamp(0.05, 60.0), per_minute.clamp(0.0, 600.0), seed)
         }
+        Command::Line { jobs, teams, seed } => {
+            line::measure(jobs.clamp(1, 1_000_000), teams.clamp(1, 100_000), seed)
+        }
+        Command::Teams { scenario, seed, seconds, plot, program } => {
+            teams::measure(&program, &scenario, seed, seconds.clamp(2.0, 600.0), plot.as_deref())
+        }
         Command::Fleet { routers, seed, plot } => {
             fleet::measure(routers.clamp(2, 2000), seed, plot.as_deref())
         }
--- a/crates/lab/src/peering.rs
+++ b/crates/lab/src/peering.rs
@@ -70,11 +70,22 @@
 
     /// One whose packets come with this TTL.
     pub fn hops_away(open: Open, ttl: u32) -> Peering {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        Peering::at(SocketAddr::from(([127, 0, 0, 1], 0)), open, ttl)
+    }
+
+    /// One that is reached by IPv6.
+    pub fn by_ipv6(open: Open) -> Peering {
+        Peering::at(SocketAddr::from((std::net::Ipv6Addr::LOCALHOST, 0)), open, 64)
+    }
+
+    fn at(address: SocketAddr, open: Open, ttl: u32) -> Peering {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None).unwrap();
+        socket.bind(&address.into()).unwrap();
         // Small, so that a peer that reads nothing is soon felt.
         socket.set_recv_buffer_size(2048).unwrap();
-        socket.set_ttl_v4(ttl).unwrap();
+        if address.is_ipv4() {
+            socket.set_ttl_v4(ttl).unwrap();
+        }
         socket.listen(16).unwrap();
         let listener = TcpListener::from(socket);
         let inner = Inner { far: Far::new(open), mode: Mode::Well, open: None, next: 0, noted: Vec::new() };
--- a/crates/lab/src/standins.rs
+++ b/crates/lab/src/standins.rs
@@ -272,19 +272,41 @@
     )
 }
 
+/// The same with the configuration's text changed.
+pub fn configured(
+    program: &str,
+    board: &Board,
+    sockets: u32,
+    more: &[&str],
+    change: impl Fn(String) -> String,
+) -> Router {
+    Router::changed(program, board, sockets, more, change)
+}
+
 impl Router {
     /// The program between stand-ins, with so many descriptors and more arguments behind `serve`.
     pub fn with(program: &str, board: &Board, sockets: u32, more: &[&str]) -> Router {
+        Router::changed(program, board, sockets, more, |text| text)
+    }
+
+    fn changed(
+        program: &str,
+        board: &Board,
+        sockets: u32,
+        more: &[&str],
+        change: impl Fn(String) -> String,
+    ) -> Router {
         let address = vacant();
         let number = ROUTERS.fetch_add(1, Ordering::Relaxed);
         let file = std::env::temp_dir().join(format!("cleatgw-{}-{number}.json", std::process::id()));
-        std::fs::write(&file, configuration(address, board.address, &board.known(), sockets)).unwrap();
+        let text = change(configuration(address, board.address, &board.known(), sockets));
+        std::fs::write(&file, text).unwrap();
         let arguments = if more.is_empty() { String::new() } else { format!("serve {}", more.join(" ")) };
         let limited = format!("ulimit -n {sockets}; exec {program} {arguments}");
         let mut child = Command::new("sh")
             .args(["-c", &limited])
             .env("BALANCER_CONFIG", &file)
-            .env("RUST_LOG", "debug")
+            .env("RUST_LOG", if more.contains(&"--teams") { "info" } else { "debug" })
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
--- /dev/null
+++ b/crates/lab/src/teams.rs
@@ -0,0 +1,316 @@
+//! Teams that share engines through one real router: what each waits, against what it would wait with its share alone.
+
+use crate::shared::Shared;
+use crate::standins::{configured, counter, Answered, Board, Client};
+use plotters::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{json, Map, Value};
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// What one team sends.
+#[derive(Clone, Debug)]
+struct Sends {
+    name: &'static str,
+    weight: f64,
+    /// Jobs a second, their work in milliseconds, and when it begins and ends, as parts of the run.
+    rate: f64,
+    work_ms: f64,
+    during: (f64, f64),
+}
+
+struct Scenario {
+    teams: Vec<Sends>,
+    /// One of the engines answers nothing in this part of the run.
+    silent: Option<(f64, f64)>,
+}
+
+const ENGINES: usize = 2;
+const CORES: f64 = 8.0;
+const ALWAYS: (f64, f64) = (0.0, 1.0);
+/// Connections a team.
+const CLIENTS: usize = 80;
+/// How long a client waits, in milliseconds.
+const PATIENCE: u64 = 4000;
+pub const SCENARIOS: [&str; 6] = ["greedy", "silent", "greedy+silent", "return", "heavy-light", "overload"];
+
+/// Capacity is 16 cores: 16,000 ms of work a second.
+fn scenario(name: &str) -> Option<Scenario> {
+    let team = |name, weight, rate, work_ms, during| Sends { name, weight, rate, work_ms, during };
+    let modest = team("modest", 1.0, 40.0, 100.0, ALWAYS);
+    // Ten times half of the engines.
+    let greedy = team("greedy", 1.0, 800.0, 100.0, ALWAYS);
+    let silent = Some((0.4, 0.6));
+    Some(match name {
+        "greedy" => Scenario { teams: vec![modest, greedy], silent: None },
+        "silent" => {
+            let other = team("other", 1.0, 40.0, 100.0, ALWAYS);
+            Scenario { teams: vec![modest, other], silent }
+        }
+        "greedy+silent" => Scenario { teams: vec![modest, greedy], silent },
+        "return" => {
+            let steady = team("steady", 1.0, 150.0, 100.0, ALWAYS);
+            let back = team("back", 1.0, 300.0, 100.0, (0.5, 0.8));
+            Scenario { teams: vec![steady, back], silent: None }
+        }
+        "heavy-light" => {
+            let light = team("light", 1.0, 300.0, 20.0, ALWAYS);
+            let heavy = team("heavy", 1.0, 30.0, 800.0, ALWAYS);
+            Scenario { teams: vec![light, heavy], silent: None }
+        }
+        "overload" => {
+            let one = team("one", 3.0, 400.0, 100.0, ALWAYS);
+            let two = team("two", 1.0, 400.0, 100.0, ALWAYS);
+            Scenario { teams: vec![one, two], silent: None }
+        }
+        _ => return None,
+    })
+}
+
+/// One job: when it was sent, counted from the start, how long it waited for an engine, and how it ended.
+#[derive(Clone, Copy)]
+struct Went {
+    at: f64,
+    wait: Option<f64>,
+    ended: Ended,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Ended {
+    Delivered,
+    TurnedBack,
+    Unanswered,
+}
+
+struct Played {
+    by_team: Vec<Vec<Went>>,
+    counters: String,
+}
+
+static CALL: AtomicU64 = AtomicU64::new(1);
+
+fn client(
+    router: std::net::SocketAddr,
+    team: &Sends,
+    seed: u64,
+    began: Instant,
+    seconds: f64,
+) -> Vec<(String, Instant, Ended)> {
+    let mut chance = SmallRng::seed_from_u64(seed);
+    let mut all = Vec::new();
+    let Ok(mut client) = Client::at(router) else { return all };
+    let each = CLIENTS as f64 / team.rate;
+    let mut next = team.during.0 * seconds + chance.random_range(0.0..each);
+    while next < team.during.1 * seconds {
+        let wait = next - began.elapsed().as_secs_f64();
+        if wait > 0.0 {
+            std::thread::sleep(Duration::from_secs_f64(wait));
+        }
+        let call = format!("{:016x}", CALL.fetch_add(1, Ordering::Relaxed));
+        let text = format!(
+            "/* op=look,call={call},ttl={PATIENCE},org={},work={},mb=10 */ work {} FROM sales_{}.t",
+            team.name,
+            team.work_ms,
+            team.work_ms,
+            chance.random_range(1..20)
+        );
+        let sent = Instant::now();
+        let ended = match client.try_send(&text).then(|| client.try_answer()).flatten() {
+            Some(Answered::Rows(_)) => Ended::Delivered,
+            Some(_) => Ended::TurnedBack,
+            None => Ended::Unanswered,
+        };
+        all.push((call, sent, ended));
+        if ended == Ended::Unanswered {
+            return all;
+        }
+        // Exponential gaps; who is late does not catch up.
+        let gap = -each * (1.0 - chance.random_range(0.0..1.0f64)).ln();
+        next = (next + gap).max(began.elapsed().as_secs_f64());
+    }
+    all
+}
+
+/// The file that makes teams of them; a round robin is a weight of one each.
+fn teams_file(teams: &[Sends], plain: bool) -> String {
+    let team = |team: &Sends| {
+        let weight = if plain { 1.0 } else { team.weight };
+        format!(r#"{{"name":"{}","weight":{weight},"most_queued":200}}"#, team.name)
+    };
+    let teams: Vec<String> = teams.iter().map(team).collect();
+    format!(r#"{{"teams":[{}]}}"#, teams.join(","))
+}
+
+fn play(
+    program: &Path,
+    teams: &[Sends],
+    silent: Option<(f64, f64)>,
+    file: Option<&str>,
+    cores: f64,
+    seed: u64,
+    seconds: f64,
+) -> Played {
+    let engines: Vec<Shared> = (0..ENGINES).map(|at| Shared::start(&format!("s-{at}"), cores)).collect();
+    let board = Board::start();
+    board.tell(true, &engines.iter().map(Shared::entry).collect::<Vec<_>>());
+    let names: Vec<String> = teams.iter().map(|team| format!(r#"{{"name":"{}"}}"#, team.name)).collect();
+    let change = |text: String| {
+        text.replace(r#"[{"name":"town"}]"#, &format!("[{}]", names.join(",")))
+            .replace("\"cores-by-kind\":[8]", &format!("\"cores-by-kind\":[{cores}]"))
+    };
+    let path = std::env::temp_dir().join(format!("cleatgw-lab-teams-{}.json", std::process::id()));
+    let mut more = Vec::new();
+    if let Some(text) = file {
+        std::fs::write(&path, text).expect("a temporary file");
+        more = vec!["--teams".to_string(), path.to_string_lossy().into_owned()];
+    }
+    let more: Vec<&str> = more.iter().map(String::as_str).collect();
+    let router = configured(&program.to_string_lossy(), &board, 1024, &more, change);
+    let began = Instant::now();
+    let sent: Mutex<Vec<Vec<(String, Instant, Ended)>>> = Mutex::new(vec![Vec::new(); teams.len()]);
+    std::thread::scope(|scope| {
+        for (at, team) in teams.iter().enumerate() {
+            for number in 0..CLIENTS {
+                let (sent, address) = (&sent, router.address);
+                let seed = seed.wrapping_mul(1_000_003).wrapping_add((at * CLIENTS + number) as u64);
+                scope.spawn(move || {
+                    let all = client(address, team, seed, began, seconds);
+                    sent.lock().unwrap()[at].extend(all);
+                });
+            }
+        }
+        if let Some((from, to)) = silent {
+            std::thread::sleep(Duration::from_secs_f64(from * seconds).saturating_sub(began.elapsed()));
+            engines[0].silent(true);
+            std::thread::sleep(Duration::from_secs_f64(to * seconds).saturating_sub(began.elapsed()));
+            engines[0].silent(false);
+        }
+    });
+    let counters = Client::at(router.address).map(|mut client| client.counters_now()).unwrap_or_default();
+    let mut got = engines[0].got();
+    for (call, at) in engines[1].got() {
+        let first = got.get(&call).map_or(at, |other| at.min(*other));
+        got.insert(call, first);
+    }
+    let by_team = sent.into_inner().unwrap().into_iter().map(|jobs| {
+        let went = |(call, sent, ended): (String, Instant, Ended)| Went {
+            at: (sent - began).as_secs_f64(),
+            wait: got.get(&call).map(|at| at.saturating_duration_since(sent).as_secs_f64()),
+            ended,
+        };
+        jobs.into_iter().map(went).collect()
+    });
+    let played = Played { by_team: by_team.collect(), counters };
+    let _ = std::fs::remove_file(&path);
+    played
+}
+
+fn quantile(waits: &[f64], part: f64) -> f64 {
+    let mut sorted = waits.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let at = ((sorted.len() as f64 * part) as usize).min(sorted.len().saturating_sub(1));
+    sorted.get(at).copied().unwrap_or(0.0) * 1e3
+}
+
+fn waits(went: &[Went]) -> Vec<f64> {
+    went.iter().filter_map(|one| one.wait).collect()
+}
+
+fn report(teams: &[Sends], played: &Played, fair: Option<&[f64]>) -> Value {
+    let mut by_team = Map::new();
+    for (at, team) in teams.iter().enumerate() {
+        let went = &played.by_team[at];
+        let count = |ended| went.iter().filter(|one| one.ended == ended).count();
+        let waits = waits(went);
+        let p99 = quantile(&waits, 0.99);
+        let mut one = json!({
+            "jobs": went.len(),
+            "delivered": count(Ended::Delivered),
+            "turned_back": count(Ended::TurnedBack),
+            "unanswered": count(Ended::Unanswered),
+            "wait_p50_ms": quantile(&waits, 0.5),
+            "wait_p99_ms": p99,
+        });
+        if let Some(fair) = fair {
+            one["fair_wait_p99_ms"] = fair[at].into();
+            // A turn of the loop and the way there are no wait.
+            one["wait_over_fair"] = (p99 / fair[at].max(5.0)).into();
+        }
+        by_team.insert(team.name.to_string(), one);
+    }
+    let counted = |name| counter(&played.counters, name);
+    let (compared, unknown) = (counted("waits_compared"), counted("waits_unknown"));
+    json!({
+        "teams": by_team,
+        "estimates": compared,
+        "within_20_percent": counted("waits_within_a_fifth") as f64 / (compared as f64).max(1.0),
+        "coverage": compared as f64 / ((compared + unknown) as f64).max(1.0),
+    })
+}
+
+/// Median waits by team and second, with and without teams.
+fn draw(
+    path: &Path,
+    teams: &[Sends],
+    with: &Played,
+    without: &Played,
+    seconds: f64,
+) -> Result<(), Box<dyn std::error::Error>> {
+    let area = SVGBackend::new(path, (1000, 600)).into_drawing_area();
+    area.fill(&WHITE)?;
+    for (part, (at, team)) in area.split_evenly((teams.len(), 1)).iter().zip(teams.iter().enumerate()) {
+        let lines = [(without, RED), (with, BLUE)].map(|(played, colour)| {
+            let mut by_second: BTreeMap<usize, Vec<f64>> = BTreeMap::new();
+            for one in &played.by_team[at] {
+                by_second.entry(one.at as usize).or_default().extend(one.wait);
+            }
+            let points: Vec<(f64, f64)> =
+                by_second.iter().map(|(second, waits)| (*second as f64, quantile(waits, 0.5))).collect();
+            (points, colour)
+        });
+        let most = lines.iter().flat_map(|line| &line.0).map(|point| point.1).fold(10.0, f64::max);
+        let words = format!("{}: median wait, ms (blue: with teams, red: without)", team.name);
+        let mut chart = ChartBuilder::on(part);
+        chart.caption(words, ("sans-serif", 16)).margin(8).x_label_area_size(24).y_label_area_size(48);
+        let mut chart = chart.build_cartesian_2d(0.0..seconds, 0.0..most * 1.05)?;
+        chart.configure_mesh().disable_mesh().x_labels(8).y_labels(4).x_desc("seconds").draw()?;
+        for (points, colour) in lines {
+            chart.draw_series(LineSeries::new(points, &colour))?;
+        }
+    }
+    area.present()?;
+    Ok(())
+}
+
+/// Plays a scenario with teams, with a plain round robin and without; and each team alone with its share of the cores.
+pub fn measure(program: &Path, name: &str, seed: u64, seconds: f64, plot: Option<&Path>) -> Value {
+    let Some(Scenario { teams, silent }) = scenario(name) else {
+        return json!({ "error": format!("no scenario {name:?}: expected one of {}", SCENARIOS.join(" ")) });
+    };
+    let total: f64 = teams.iter().map(|team| team.weight).sum();
+    let fair: Vec<f64> = teams
+        .iter()
+        .map(|team| {
+            let cores = CORES * team.weight / total;
+            let alone = play(program, std::slice::from_ref(team), silent, None, cores, seed, seconds);
+            quantile(&waits(&alone.by_team[0]), 0.99)
+        })
+        .collect();
+    let run = |file: Option<&str>| play(program, &teams, silent, file, CORES, seed, seconds);
+    let with = run(Some(&teams_file(&teams, false)));
+    let robin = run(Some(&teams_file(&teams, true)));
+    let without = run(None);
+    if let Some(Err(error)) = plot.map(|path| draw(path, &teams, &with, &without, seconds)) {
+        eprintln!("no plot: {error}");
+    }
+    let mut whole = report(&teams, &with, Some(&fair));
+    whole["scenario"] = name.into();
+    whole["seconds"] = seconds.into();
+    whole["round_robin"] = report(&teams, &robin, Some(&fair));
+    whole["off"] = report(&teams, &without, Some(&fair));
+    whole
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,12 +1,15 @@
-//! The operator's file on service addresses: which are announced, to whom, and when. JSON, with a schema derived from
-//! the types; an error names the field by its path, what was expected and what stood there.
+//! The operator's files: on service addresses (which are announced, to whom, and when) and on teams (who shares the
+//! engines, and how). JSON, with schemas derived from the types; an error names the field by its path, what was expected and what stood there.
 
 mod bgp;
 mod service;
+mod teams;
 
 pub use bgp::{BgpPart, PeerPart, RolePart};
 pub use service::{DampingPart, DearPart, EffectPart, HoldPart, ServiceFile, SignPart, SignsPart};
 
+pub use teams::{read_teams, teams_schema, BudgetPart, OthersPart, TeamNames, TeamPart, TeamsFile};
+
 use serde::de::DeserializeOwned;
 use std::fmt::Display;
 
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -40,6 +40,8 @@
     /// A job goes ahead of a denser one that came so many seconds later for each halving of its density. None: the
     /// densest first, however long others wait.
     pub ageing: Option<f64>,
+    /// By category: so many doublings of its density a job counts as denser. Categories behind the end have none.
+    pub order: Vec<f64>,
 }
 
 impl Default for Terms {
@@ -52,6 +54,7 @@
             most_queued_work: f64::INFINITY,
             most_out: usize::MAX,
             ageing: None,
+            order: Vec::new(),
         }
     }
 }
@@ -62,6 +65,7 @@
     pub job: usize,
     /// A leaf of the tree.
     pub team: usize,
+    pub category: usize,
     /// Credit for its work, more than 0: the denser first.
     pub density: f64,
     pub work: f64,
@@ -141,6 +145,12 @@
     pub waits: Waits,
 }
 
+impl Default for Line {
+    fn default() -> Line {
+        Line::single()
+    }
+}
+
 impl Line {
     /// One team for all: the densest first.
     pub fn single() -> Line {
@@ -173,6 +183,15 @@
         }
     }
 
+    /// There are teams: not all jobs stand in one line.
+    pub fn parted(&self) -> bool {
+        self.nodes.len() > 1
+    }
+
+    pub fn holds(&self, job: usize) -> bool {
+        self.waiting.contains_key(&job)
+    }
+
     pub fn len(&self) -> usize {
         self.waiting.len() + self.offers.len()
     }
@@ -188,10 +207,13 @@
 
     /// Its place within its team: earlier is less.
     fn key(&self, waiting: &Waiting) -> (u64, usize) {
-        let key = match self.nodes[waiting.team].terms.ageing {
-            None => u64::MAX - rank(waiting.density),
+        let terms = &self.nodes[waiting.team].terms;
+        let ahead = terms.order.get(waiting.category).copied().unwrap_or(0.0);
+        let density = if ahead > 0.0 { waiting.density * ahead.exp2() } else { waiting.density };
+        let key = match terms.ageing {
+            None => u64::MAX - rank(density),
             // A denser one stands as if it had come earlier; times are shifted to stay positive.
-            Some(ageing) => rank(waiting.since - ageing * waiting.density.max(1e-9).log2() + 1e6),
+            Some(ageing) => rank(waiting.since - ageing * density.max(1e-9).log2() + 1e6),
         };
         (key, waiting.job)
     }
@@ -254,10 +276,10 @@
     }
 
     /// It waits no more: it was answered, or its client has gone.
-    pub fn leave(&mut self, job: usize, now: f64) {
+    pub fn leave(&mut self, job: usize) {
         // One that is on offer goes back into line first, so that what it was charged comes back.
         if self.offers.iter().any(|offer| offer.waiting.job == job) {
-            self.put_back(now);
+            self.put_back(f64::NEG_INFINITY);
         }
         self.waits.left(job);
         if let Some(waiting) = self.waiting.remove(&job) {
@@ -459,6 +481,26 @@
         share
     }
 
+    /// A push of this team's is out already: lines that are set up while jobs are under way begin with those.
+    pub fn carries(&mut self, team: usize) {
+        let team = team.min(self.nodes.len() - 1);
+        self.nodes[team].out += 1;
+        self.settle(team);
+    }
+
+    /// How long a job of this team and so much work would wait if it came now, behind all of its line.
+    pub fn wait_for(&self, team: usize, work: f64, now: f64) -> Option<Wait> {
+        let node = self.nodes.get(team)?;
+        let waiting =
+            Waiting { job: usize::MAX, team, category: 0, density: 1.0, work, since: now, never_ran: true };
+        self.waits.estimate(&waiting, node.queued_work, self.share(team), now)
+    }
+
+    /// How many lines there are, groups among them.
+    pub fn teams(&self) -> usize {
+        self.nodes.len()
+    }
+
     /// How long this job will wait from now to its first push, as far as can be told.
     pub fn wait_of(&self, job: usize, now: f64) -> Option<Wait> {
         let waiting = self.waiting.get(&job)?;
--- a/crates/queue/src/tests.rs
+++ b/crates/queue/src/tests.rs
@@ -42,7 +42,8 @@
     fn arrives(&mut self, team: usize, work: f64) -> usize {
         let job = self.next;
         self.next += 1;
-        let waiting = Waiting { job, team, density: 1.0 / work, work, since: self.now, never_ran: true };
+        let waiting =
+            Waiting { job, team, category: 0, density: 1.0 / work, work, since: self.now, never_ran: true };
         self.jobs.insert(job, (team, work, self.now));
         self.line.hold(waiting, self.now);
         job
@@ -81,7 +82,10 @@
 fn one_team_alone_goes_densest_first_and_a_job_that_does_not_go_stays_in_its_place() {
     let mut line = Line::single();
     for (job, density) in [(1, 2.0), (2, 9.0), (3, 5.0)] {
-        line.hold(Waiting { job, team: 0, density, work: 1.0, since: 0.0, never_ran: true }, 0.0);
+        line.hold(
+            Waiting { job, team: 0, category: 0, density, work: 1.0, since: 0.0, never_ran: true },
+            0.0,
+        );
     }
     assert_eq!(
         [line.next(0.0), line.next(0.0), line.next(0.0), line.next(0.0)],
@@ -187,7 +191,10 @@
         for team in [1, 2] {
             while line.of(team).0 < 3 {
                 let work = if team == 1 { 0.1 } else { 1.0 };
-                line.hold(Waiting { job: next, team, density: 1.0, work, since: now, never_ran: true }, now);
+                line.hold(
+                    Waiting { job: next, team, category: 0, density: 1.0, work, since: now, never_ran: true },
+                    now,
+                );
                 next += 1;
             }
         }
@@ -217,13 +224,22 @@
     assert!(!with(Some(1.0)).0);
 }
 
+#[test]
+fn a_teams_own_order_of_categories_comes_before_their_density() {
+    let mut line = Line::new(vec![Terms { order: vec![0.0, 10.0], ..Terms::default() }], 0.0);
+    for (job, category, density) in [(1, 0, 5.0), (2, 1, 1.0), (3, 1, 2.0), (4, 2, 9.0)] {
+        line.hold(Waiting { job, team: 0, category, density, work: 1.0, since: 0.0, never_ran: true }, 0.0);
+    }
+    assert_eq!([0; 4].map(|_| line.next(0.0).unwrap()), [3, 2, 4, 1]);
+}
+
 #[test]
 fn a_line_that_is_too_long_displaces_its_last_that_never_ran() {
     let mut tree = teams(&[1.0, 1.0]);
     tree[1].most_queued = 3;
     let mut line = Line::new(tree, 0.0);
     let hold = |line: &mut Line, job: usize, team, never_ran| {
-        line.hold(Waiting { job, team, density: 1.0, work: 1.0, since: 0.0, never_ran }, 0.0);
+        line.hold(Waiting { job, team, category: 0, density: 1.0, work: 1.0, since: 0.0, never_ran }, 0.0);
     };
     (0..3).for_each(|job| hold(&mut line, job, 1, true));
     (10..30).for_each(|job| hold(&mut line, job, 2, true));
@@ -231,7 +247,7 @@
     // The last one may have run: the one before it goes.
     hold(&mut line, 3, 1, false);
     assert_eq!((line.too_long(1), line.surplus()), (Some(2), Some(2)));
-    line.leave(2, 0.0);
+    line.leave(2);
     assert_eq!((line.surplus(), line.len()), (None, 23));
     // All may have run: nobody is displaced, however long it is.
     let mut line = Line::new(vec![Terms { most_queued: 2, ..Terms::default() }], 0.0);
@@ -246,11 +262,14 @@
     let mut line = Line::new(tree, 0.0);
     for job in 0..12 {
         let team = 1 + job % 2;
-        line.hold(Waiting { job, team, density: 1.0, work: 1.0, since: 0.0, never_ran: true }, 0.0);
+        line.hold(
+            Waiting { job, team, category: 0, density: 1.0, work: 1.0, since: 0.0, never_ran: true },
+            0.0,
+        );
     }
     let mut gone = Vec::new();
     while let Some(job) = line.surplus() {
-        line.leave(job, 0.0);
+        line.leave(job);
         gone.push(job % 2);
     }
     assert_eq!(gone, [0, 0]);
@@ -262,7 +281,10 @@
     tree[1].most_out = 2;
     let mut line = Line::new(tree, 0.0);
     for job in 0..5 {
-        line.hold(Waiting { job, team: 1, density: 1.0, work: 1.0, since: 0.0, never_ran: true }, 0.0);
+        line.hold(
+            Waiting { job, team: 1, category: 0, density: 1.0, work: 1.0, since: 0.0, never_ran: true },
+            0.0,
+        );
     }
     let mut went = Vec::new();
     while let Some(job) = line.next(0.0) {
@@ -313,7 +335,7 @@
             match what {
                 0 | 1 => {
                     let team = leaves[which % 3];
-                    line.hold(Waiting { job: next, team, density: 1.0 / work, work, since: now, never_ran: true }, now);
+                    line.hold(Waiting { job: next, team, category: 0, density: 1.0 / work, work, since: now, never_ran: true }, now);
                     waiting.insert((next, team, work.to_bits()));
                     next += 1;
                 }
@@ -340,7 +362,7 @@
                 _ => {
                     if let Some(entry) = waiting.iter().nth(which).copied() {
                         waiting.remove(&entry);
-                        line.leave(entry.0, now);
+                        line.leave(entry.0);
                         // What was on offer may have gone back: it did if this one was; here it was not.
                     }
                 }
--- /dev/null
+++ b/crates/queue/tests/model.rs
@@ -0,0 +1,194 @@
+//! Model checking (stateright) of the real line: an adversary holds, offers, pushes, ends and displaces in any order.
+
+use cleatgw_queue::{Line, Terms, Waiting};
+use stateright::{Checker, Model, Property};
+use std::collections::BTreeSet;
+use std::fmt;
+use std::hash::{Hash, Hasher};
+
+/// What is put in to see that it is found.
+#[derive(Clone, Copy, PartialEq)]
+enum Planted {
+    Nothing,
+    /// The host says of every job that it never ran.
+    ForgetsThatItRan,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Step {
+    /// A job comes to this team.
+    Comes(usize),
+    /// The next one is offered and pushed, or goes back.
+    Push,
+    NotPushed,
+    /// The oldest push ends without an answer: its job may have run, or never did, and waits again.
+    EndsAgain {
+        ran: bool,
+    },
+    /// The oldest push ends for good.
+    Ends,
+    Displace,
+}
+
+#[derive(Clone)]
+struct At {
+    line: Line,
+    now: f64,
+    next: usize,
+    waiting: BTreeSet<usize>,
+    out: Vec<usize>,
+    /// Jobs that may have run, and those that were displaced.
+    ran: BTreeSet<usize>,
+    displaced: BTreeSet<usize>,
+}
+
+impl At {
+    fn digest(&self) -> String {
+        format!("{:?}{:?}{:?}{:?}{:?}", self.line, self.waiting, self.out, self.ran, self.displaced)
+    }
+
+    fn hold(&mut self, job: usize, planted: Planted) {
+        let never_ran = planted == Planted::ForgetsThatItRan || !self.ran.contains(&job);
+        // Later ones are denser, so that any may be the last.
+        let (team, now, density) = (1 + job % 2, self.now, 1.0 + job as f64);
+        self.line.hold(Waiting { job, team, category: 0, density, work: 1.0, since: now, never_ran }, now);
+        self.waiting.insert(job);
+    }
+}
+
+impl Hash for At {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        self.digest().hash(hasher);
+    }
+}
+
+impl PartialEq for At {
+    fn eq(&self, other: &At) -> bool {
+        self.digest() == other.digest()
+    }
+}
+
+impl fmt::Debug for At {
+    fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
+        write!(
+            to,
+            "waiting {:?}, out {:?}, ran {:?}, displaced {:?}",
+            self.waiting, self.out, self.ran, self.displaced
+        )
+    }
+}
+
+struct Lines(Planted);
+
+impl Model for Lines {
+    type State = At;
+    type Action = Step;
+
+    fn init_states(&self) -> Vec<At> {
+        let team = |weight| Terms { weight, most_queued: 1, most_out: 2, ..Terms::default() };
+        let line = Line::new(vec![Terms { most_queued: 3, ..Terms::default() }, team(1.0), team(2.0)], 0.0);
+        let none = BTreeSet::new();
+        let (out, ran, displaced) = (Vec::new(), none.clone(), none.clone());
+        vec![At { line, now: 0.0, next: 0, waiting: none, out, ran, displaced }]
+    }
+
+    fn actions(&self, at: &At, steps: &mut Vec<Step>) {
+        use Step::*;
+        if at.next < 5 {
+            steps.extend([Comes(0), Comes(1)]);
+        }
+        steps.extend([Push, NotPushed, EndsAgain { ran: true }, EndsAgain { ran: false }, Ends, Displace]);
+    }
+
+    fn next_state(&self, at: &At, step: Step) -> Option<At> {
+        let mut next = at.clone();
+        match step {
+            Step::Comes(team) => {
+                let job = 2 * next.next + team;
+                next.next += 1;
+                next.hold(job, self.0);
+            }
+            Step::Push => {
+                let job = next.line.next(next.now)?;
+                next.line.went(job, next.now);
+                next.waiting.remove(&job);
+                next.out.push(job);
+            }
+            Step::NotPushed => {
+                next.line.next(next.now)?;
+                next.line.put_back(next.now);
+            }
+            Step::EndsAgain { ran } => {
+                let job = if next.out.is_empty() { return None } else { next.out.remove(0) };
+                if ran {
+                    next.ran.insert(job);
+                }
+                next.line.over(1 + job % 2, 1.0, if ran { 1.0 } else { 0.0 }, next.now);
+                next.hold(job, self.0);
+            }
+            Step::Ends => {
+                let job = if next.out.is_empty() { return None } else { next.out.remove(0) };
+                next.line.over(1 + job % 2, 1.0, 2.0, next.now);
+            }
+            Step::Displace => {
+                let job = next.line.surplus()?;
+                next.line.leave(job);
+                next.waiting.remove(&job);
+                next.displaced.insert(job);
+            }
+        }
+        Some(next)
+    }
+
+    fn properties(&self) -> Vec<Property<Lines>> {
+        vec![
+            Property::always("what may have run is never displaced", |_, at: &At| {
+                at.ran.is_disjoint(&at.displaced)
+            }),
+            Property::always("no job is lost", |_, at: &At| {
+                at.line.len() == at.waiting.len() && at.waiting.iter().all(|job| at.line.holds(*job))
+            }),
+            Property::always("what waits goes once there is room", |_, at: &At| {
+                let mut line = at.line.clone();
+                at.out.iter().for_each(|job| line.over(1 + job % 2, 1.0, 1.0, at.now));
+                let mut gone = 0;
+                while let Some(job) = line.next(at.now) {
+                    line.went(job, at.now);
+                    line.over(1 + job % 2, 1.0, 1.0, at.now);
+                    gone += 1;
+                }
+                gone == at.waiting.len()
+            }),
+            Property::always("no line stays too long while one in it can go", |_, at: &At| {
+                let mut line = at.line.clone();
+                while let Some(job) = line.surplus() {
+                    line.leave(job);
+                }
+                let over = |team: usize| line.of(team).0 > 1;
+                let movable = |team: usize| {
+                    at.waiting
+                        .iter()
+                        .any(|job| 1 + job % 2 == team && line.holds(*job) && !at.ran.contains(job))
+                };
+                (1..=2).all(|team| !over(team) || !movable(team))
+            }),
+            Property::sometimes("one is displaced while another that ran waits", |_, at: &At| {
+                !at.displaced.is_empty() && at.waiting.iter().any(|job| at.ran.contains(job))
+            }),
+        ]
+    }
+}
+
+#[test]
+fn whatever_comes_and_ends_what_may_have_run_is_never_displaced() {
+    let done = Lines(Planted::Nothing).checker().threads(4).target_max_depth(8).spawn_bfs().join();
+    println!("{} states, {} different", done.state_count(), done.unique_state_count());
+    assert!(done.unique_state_count() > 1_000);
+    done.assert_properties();
+}
+
+#[test]
+fn a_host_that_forgets_that_a_job_ran_is_found_out() {
+    let done = Lines(Planted::ForgetsThatItRan).checker().threads(4).target_max_depth(8).spawn_bfs().join();
+    assert!(done.discovery("what may have run is never displaced").is_some());
+}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -8,7 +8,7 @@
 mod transport;
 
 use bpaf::{construct, long, positional, pure, OptionParser, Parser};
-use cleatgw_operator::ServiceFile;
+use cleatgw_operator::{ServiceFile, TeamsFile};
 use log_lines::Form;
 use routing::{News, Routing};
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
@@ -16,15 +16,15 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use transport::{Announcing, Reread};
+use transport::{Operators, Reread};
 
 const CONFIG: &str = "BALANCER_CONFIG";
 
 #[derive(Clone, Debug)]
 enum Command {
-    Serve { config: Option<PathBuf>, service: Option<PathBuf>, form: Form },
-    Check { config: Option<PathBuf>, service: Option<PathBuf> },
-    Schema,
+    Serve { config: Option<PathBuf>, service: Option<PathBuf>, teams: Option<PathBuf>, form: Form },
+    Check { config: Option<PathBuf>, service: Option<PathBuf>, teams: Option<PathBuf> },
+    Schema { of: String },
     Status { address: SocketAddr },
     Version,
 }
@@ -34,6 +34,10 @@
         let file = long("service").help("The service addresses that follow this router");
         file.argument::<PathBuf>("FILE").optional()
     };
+    let teams = || {
+        let file = long("teams").help("The teams that share the engines");
+        file.argument::<PathBuf>("FILE").optional()
+    };
     let serve = {
         let config = long("config")
             .short('c')
@@ -42,28 +46,31 @@
             .optional();
         let form =
             long("log-format").help("text (the usual one) or json").argument("FORM").fallback(Form::Text);
-        let service = service();
-        construct!(Command::Serve { config, service, form })
+        let (service, teams) = (service(), teams());
+        construct!(Command::Serve { config, service, teams, form })
     };
     let serve = serve.to_options().descr("Serves clients until SIGTERM").command("serve");
     let check = {
         let config = positional("FILE").help("The configuration").optional();
-        let service = service();
-        construct!(Command::Check { service, config })
+        let (service, teams) = (service(), teams());
+        construct!(Command::Check { service, teams, config })
     };
     let check = check
         .to_options()
-        .descr("Reads a configuration, a service file, or both, and says what they hold or what is wrong")
+        .descr("Reads a configuration or operator's files, and says what they hold or what is wrong")
         .command("check");
-    let schema = pure(Command::Schema).to_options().descr("Prints the schema of the service file");
-    let schema = schema.command("schema");
+    let schema = {
+        let of = positional("FILE").help("service (the usual one) or teams").fallback("service".to_string());
+        construct!(Command::Schema { of })
+    };
+    let schema = schema.to_options().descr("Prints the schema of an operator's file").command("schema");
     let status = {
         let address = positional("ADDRESS").help("Where the router listens, with its port");
         construct!(Command::Status { address })
     };
     let status = status.to_options().descr("Asks a router how its service addresses stand").command("status");
     let version = pure(Command::Version).to_options().descr("Prints the version").command("version");
-    let none = pure(Command::Serve { config: None, service: None, form: Form::Text });
+    let none = pure(Command::Serve { config: None, service: None, teams: None, form: Form::Text });
     construct!([serve, check, schema, status, version, none])
         .to_options()
         .descr("A query gateway: decides what runs, where, and with how much memory")
@@ -108,24 +115,36 @@
     Ok(Reread { board: told.place.board, known: told.known })
 }
 
-fn serve(config: Option<PathBuf>, service_path: Option<PathBuf>) -> Result<(), String> {
+fn teams(path: &Path) -> Result<TeamsFile, String> {
+    let text = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    cleatgw_operator::read_teams(&text).map_err(|wrong| format!("{}: {}", path.display(), wrong.0))
+}
+
+fn serve(
+    config: Option<PathBuf>,
+    service_path: Option<PathBuf>,
+    teams_path: Option<PathBuf>,
+) -> Result<(), String> {
     let path = path(config)?;
     let mut told = told(&path)?;
-    let announcing = match service_path {
-        None => None,
-        Some(path) => {
-            let file = service(&path)?;
-            Some(Announcing { file, seed: told.seed, reread: Box::new(move || service(&path)) })
-        }
+    let service_file = service_path.as_deref().map(service).transpose()?;
+    let teams_file = teams_path.as_deref().map(teams).transpose()?;
+    let operators = Operators {
+        service: service_file.map(|file| (file, told.seed)),
+        reread_service: Box::new(move || service(service_path.as_deref().unwrap_or(Path::new("")))),
+        reread_teams: teams_path.map(|path| Box::new(move || teams(&path)) as _),
     };
     told.place.descriptors = descriptors(told.place.descriptors as u64) as usize;
     log::info!("{} starts, version {}", told.name, env!("CARGO_PKG_VERSION"));
-    let routing = Routing::new(told.deployment, told.names, told.seed, transport::unix_time());
+    let mut routing = Routing::new(told.deployment, told.names, told.seed, transport::unix_time());
+    if let Some(file) = teams_file {
+        routing.teams(file);
+    }
     let news = News { lists: told.known, ..News::default() };
     let listen = told.place.listen;
     let fixed = told.fixed;
     let reread = Box::new(move || reread(&path, &fixed));
-    let counters = transport::serve(told.place, routing, news, reread, announcing)
+    let counters = transport::serve(told.place, routing, news, reread, operators)
         .map_err(|error| format!("{listen}: {error}"))?;
     log::info!("counters: {counters}");
     Ok(())
@@ -147,13 +166,18 @@
     Ok(())
 }
 
-fn check(config: Option<PathBuf>, service: Option<PathBuf>) -> Result<(), String> {
-    if let Some(service) = service {
-        check_service(&service)?;
-        // Either may be checked alone.
-        if config.is_none() && std::env::var_os(CONFIG).is_none() {
-            return Ok(());
-        }
+fn check_teams(path: &Path) -> Result<(), String> {
+    let (line, names) = teams(path)?.line(0.0, &[]);
+    println!("{}: {} lines ({})", path.display(), line.teams(), names.names().join(" "));
+    Ok(())
+}
+
+fn check(config: Option<PathBuf>, service: Option<PathBuf>, teams: Option<PathBuf>) -> Result<(), String> {
+    service.as_deref().map(check_service).transpose()?;
+    teams.as_deref().map(check_teams).transpose()?;
+    // Each may be checked alone.
+    if (service.is_some() || teams.is_some()) && config.is_none() && std::env::var_os(CONFIG).is_none() {
+        return Ok(());
     }
     let told = told(&path(config)?)?;
     let engines: usize =
@@ -179,13 +203,20 @@
     };
     log_lines::start(form);
     let done = match command {
-        Command::Serve { config, service, .. } => serve(config, service),
-        Command::Check { config, service } => check(config, service),
+        Command::Serve { config, service, teams, .. } => serve(config, service, teams),
+        Command::Check { config, service, teams } => check(config, service, teams),
         Command::Status { address } => status::ask(address).map(|table| print!("{table}")),
-        Command::Schema => {
-            print!("{}", cleatgw_operator::schema());
-            Ok(())
-        }
+        Command::Schema { of } => match of.as_str() {
+            "service" => {
+                print!("{}", cleatgw_operator::schema());
+                Ok(())
+            }
+            "teams" => {
+                print!("{}", cleatgw_operator::teams_schema());
+                Ok(())
+            }
+            other => Err(format!("no file {other:?}: expected service or teams")),
+        },
         Command::Version => {
             println!("cleatgw {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/crates/router/src/protocol/statement.rs
+++ b/crates/router/src/protocol/statement.rs
@@ -12,12 +12,19 @@
         session: u32,
         query_only: bool,
     },
-    /// How service addresses stand: `SHOW ANNOUNCEMENTS`.
-    Announcements,
+    /// What an operator asks for: `SHOW ANNOUNCEMENTS`, `SHOW TEAMS`.
+    Question(Question),
     /// Answered with OK: there is no state that it could change.
     Harmless,
 }
 
+/// How something stands.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Question {
+    Announcements,
+    Teams,
+}
+
 /// A job as its client asks for it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Request {
@@ -52,7 +59,8 @@
             let session = word(at).parse().map_err(|_| "KILL: expected a connection id".to_string())?;
             Ok(Asked::Kill { session, query_only: is(1, "QUERY") })
         }
-        "SHOW" if is(1, "ANNOUNCEMENTS") && tokens.len() == 2 => Ok(Asked::Announcements),
+        "SHOW" if is(1, "ANNOUNCEMENTS") && tokens.len() == 2 => Ok(Asked::Question(Question::Announcements)),
+        "SHOW" if is(1, "TEAMS") && tokens.len() == 2 => Ok(Asked::Question(Question::Teams)),
         "SET" | "USE" | "BEGIN" | "START" | "COMMIT" | "ROLLBACK" => Ok(Asked::Harmless),
         "" => Err("the statement is empty".to_string()),
         // Not even a constant is answered with a result set: a client may take that for an engine's.
--- a/crates/router/src/routing/counters.rs
+++ b/crates/router/src/routing/counters.rs
@@ -79,6 +79,10 @@
     announce_guarded,
     announce_damped,
     announce_capped,
+    /// Estimated waits that were compared with the true ones, those within a fifth, and jobs that waited without one.
+    waits_compared,
+    waits_within_a_fifth,
+    waits_unknown,
     module_panics,
     panics,
     turns,
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -7,7 +7,9 @@
 use crate::protocol::engine::Ask;
 use crate::protocol::statement::{self, Request};
 use cleatgw::logic::Gateway;
+use cleatgw::queue::Wait;
 use cleatgw::{Deployment, Effect, Ending, Listing, Load, PushEnd, Stage, Taken, Writer};
+use cleatgw_operator::{TeamNames, TeamsFile};
 use cleatgw_start::{flat, index_of, name_hash, Names};
 pub use counters::Counters;
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
@@ -141,6 +143,8 @@
     desk: Desk,
     /// Clients that asked in this turn, and whose jobs are not taken yet.
     untaken: VecDeque<SessionId>,
+    /// Who shares the engines, and which line a name stands in.
+    teams: Option<(TeamsFile, TeamNames)>,
     next_job: usize,
     next_engine: u64,
     stops_at: f64,
@@ -304,6 +308,17 @@
         job.pushes.push(PushState::Out { engine: at, sent: desk.now, until, given_up: None });
     }
 
+    fn waits(&mut self, job: usize, wait: Option<Wait>) {
+        let Some(job) = self.desk.jobs.get(&job) else { return };
+        let id = job.request.id.as_str();
+        match wait {
+            Some(Wait { expected, from, to }) => {
+                log::debug!(call = id, wait = expected, from = from, to = to; "job {id} is thought to wait {expected:.3} s");
+            }
+            None => log::debug!(call = id; "job {id} waits, for how long can't be told"),
+        }
+    }
+
     fn call_off(&mut self, job: usize, number: u32) {
         let push = PushId { job, number };
         if self.desk.deployment.call_off {
@@ -363,6 +378,7 @@
             seed,
             desk,
             untaken: VecDeque::new(),
+            teams: None,
             next_job: 0,
             next_engine: 0,
             stops_at: f64::INFINITY,
@@ -381,6 +397,10 @@
     }
 
     pub fn counters(&mut self) -> &mut Counters {
+        let waits = &self.gateway.line().waits;
+        self.desk.counters.waits_compared = waits.compared;
+        self.desk.counters.waits_within_a_fifth = waits.within_a_fifth;
+        self.desk.counters.waits_unknown = waits.unknown;
         self.desk.counters.open = self.desk.job_of.len() as u64;
         &mut self.desk.counters
     }
@@ -398,6 +418,37 @@
         self.gateway.takes_until(at);
     }
 
+    /// Teams share the engines by this file from now on; jobs that wait move to their lines by their names.
+    pub fn teams(&mut self, file: TeamsFile) {
+        let (line, names) = file.line(self.desk.now, &self.names.categories);
+        let jobs = &self.desk.jobs;
+        let team_of = |id: usize| names.of(jobs.get(&id).and_then(|job| job.request.tenant.as_deref()));
+        self.gateway.teams(self.desk.now, line, &team_of);
+        self.teams = Some((file, names));
+    }
+
+    /// How the teams stand, in rows of three: those that have jobs in line or out, at most so many.
+    pub fn teams_status(&self) -> Option<Vec<[String; 3]>> {
+        const MOST: usize = 256;
+        let (_, names) = self.teams.as_ref()?;
+        let line = self.gateway.line();
+        let (compared, unknown) = (line.waits.compared, line.waits.unknown);
+        let share = line.waits.within_a_fifth as f64 / (compared as f64).max(1.0);
+        let worth = format!("{compared} estimates compared, {unknown} jobs without one");
+        let mut rows = vec![["estimates".to_string(), format!("{share:.2} within a fifth"), worth]];
+        let known = names.names().iter().enumerate();
+        let busy = known.map(|(at, name)| (at, name, line.of(at))).filter(|(_, _, of)| of.0 + of.2 > 0);
+        for (at, name, (queued, work, out)) in busy.take(MOST) {
+            let wait = line.wait_for(at, work / queued.max(1) as f64, self.desk.now);
+            let wait = wait.map_or("can't be told".to_string(), |wait| {
+                format!("{:.2} s, {:.2} to {:.2}", wait.expected, wait.from, wait.to)
+            });
+            let stands = format!("{queued} in line, {work:.2} s of work, {out} out");
+            rows.push([format!("team {name}"), stands, format!("a job that comes now waits {wait}")]);
+        }
+        Some(rows)
+    }
+
     /// Engines that are ready and not in doubt.
     pub fn sound_engines(&self) -> usize {
         self.gateway.sound_engines()
@@ -534,6 +585,7 @@
             cost: request.work,
             memory_mb: request.memory_mb,
             cut_off: gives_up,
+            team: self.teams.as_ref().map_or(0, |(_, names)| names.of(request.tenant.as_deref())),
         };
         let state = JobState::Open { session };
         let of = &self.desk.deployment.categories[category];
@@ -605,6 +657,9 @@
         self.gateway = Gateway::new(self.desk.deployment.clone(), self.seed, self.desk.now);
         self.gateway.stop_at(self.stops_at);
         self.gateway.takes_until(self.takes_until);
+        if let Some((file, _)) = &self.teams {
+            self.gateway.teams(self.desk.now, file.line(self.desk.now, &self.names.categories).0, &|_| 0);
+        }
         let listings: Vec<Listing> = self.desk.engines.iter().map(|engine| engine.listing).collect();
         self.gateway.engines_listed(self.desk.now, &listings, true);
         self.desk.wake = self.desk.now;
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -3,7 +3,7 @@
 use super::buffer::{Buffer, Reached};
 use crate::protocol::engine::{columns, rows, COLUMNS};
 use crate::protocol::mysql::{self, Command};
-use crate::protocol::statement::{self, Asked, Request};
+use crate::protocol::statement::{self, Asked, Question, Request};
 use crate::routing::{Answer, SessionId};
 use calloop::RegistrationToken;
 use std::io;
@@ -42,8 +42,8 @@
         query_only: bool,
     },
     Counters,
-    /// How service addresses stand.
-    Announcements,
+    /// How something stands.
+    Question(Question),
 }
 
 pub struct Session {
@@ -274,7 +274,7 @@
         match statement::read(text) {
             Ok(Asked::Job(request)) => return self.wait(Heard::Asked(request)),
             Ok(Asked::Kill { session, query_only }) => return self.wait(Heard::Kill { session, query_only }),
-            Ok(Asked::Announcements) => return self.wait(Heard::Announcements),
+            Ok(Asked::Question(question)) => return self.wait(Heard::Question(question)),
             Ok(Asked::Harmless) => self.ok(),
             Err(why) => return self.wait(Heard::Unusable(why)),
         }
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -10,13 +10,14 @@
 
 use crate::protocol::board::Event;
 use crate::protocol::engine::Ask;
+use crate::protocol::statement::Question;
 use crate::routing::{Answer, Counters, News, Peers, PushId, Routing, SessionId};
 use board::BoardLink;
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
 use cleatgw_announce::{Readings, Recent, NEW_WORK};
-use cleatgw_operator::ServiceFile;
+use cleatgw_operator::{ServiceFile, TeamsFile};
 use cleatgw_start::LinkLimits;
 use links::Links;
 use rustix::io::Errno;
@@ -129,11 +130,13 @@
     pub known: Vec<Event>,
 }
 
-/// What announces the service addresses, and reads its file again.
-pub struct Announcing {
-    pub file: ServiceFile,
-    pub seed: u64,
-    pub reread: Box<dyn Fn() -> Result<ServiceFile, String>>,
+/// The operator's files, as they are read again.
+pub struct Operators {
+    /// What announces the service addresses, and what its chance is drawn from.
+    pub service: Option<(ServiceFile, u64)>,
+    pub reread_service: Box<dyn Fn() -> Result<ServiceFile, String>>,
+    /// Reads the teams file again; none where there are no teams.
+    pub reread_teams: Option<Box<dyn Fn() -> Result<TeamsFile, String>>>,
 }
 
 /// Reads the configuration again, or says why it can't be used.
@@ -193,7 +196,8 @@
     reread: Rereads,
     speaker: Option<Speaker>,
     steady: Steady,
-    reread_service: Option<Box<dyn Fn() -> Result<ServiceFile, String>>>,
+    reread_service: Box<dyn Fn() -> Result<ServiceFile, String>>,
+    reread_teams: Option<Box<dyn Fn() -> Result<TeamsFile, String>>>,
     /// Jobs answered in time of late, and when the decisions last failed.
     recent: Recent,
     failed: (u64, f64),
@@ -246,7 +250,7 @@
     routing: Routing,
     news: News,
     reread: Rereads,
-    announcing: Option<Announcing>,
+    operators: Operators,
 ) -> io::Result<Counters> {
     let mut event_loop: EventLoop<Ready> = EventLoop::try_new()?;
     let handle = event_loop.handle();
@@ -259,11 +263,10 @@
     let longest_job = place.longest_job.unwrap_or(LONGEST_GIVEN);
     let sessions = Sessions::open(&handle, place.listen, place.descriptors, place.memory)?;
     let links = Links::new(&handle, place.links, place.descriptors / 4);
-    let (speaker, reread_service) = match announcing {
-        None => (None, None),
-        Some(Announcing { file, seed, reread }) => {
-            (Some(Speaker::open(&handle, file, seed, 0.0)?), Some(reread))
-        }
+    let Operators { service, reread_service, reread_teams } = operators;
+    let speaker = match service {
+        None => None,
+        Some((file, seed)) => Some(Speaker::open(&handle, file, seed, 0.0)?),
     };
     let mut server = Server {
         board: BoardLink::new(place.board, place.last_event, place.memory / 16, now),
@@ -282,6 +285,7 @@
         speaker,
         steady: Steady(Instant::now()),
         reread_service,
+        reread_teams,
         recent: Recent::default(),
         failed: (0, f64::NEG_INFINITY),
         counters: Counters::default(),
@@ -354,9 +358,12 @@
             let counters = self.counters();
             self.net.sessions.tell(&counters, now);
         }
-        if !self.net.sessions.asking.is_empty() {
-            let rows = self.speaker.as_ref().map(|speaker| speaker.status(self.steady.read()));
-            self.net.sessions.tell_announcements(rows, now);
+        for question in self.net.sessions.questions() {
+            let rows = match question {
+                Question::Announcements => self.speaker.as_ref().map(|one| one.status(self.steady.read())),
+                Question::Teams => self.routing.teams_status(),
+            };
+            self.net.sessions.tell_how(question, rows.as_deref(), now);
         }
         if !self.serving && self.routing.ready() {
             self.serving = true;
@@ -436,9 +443,21 @@
         self.speaker = Some(speaker);
     }
 
-    fn new_service_file(&mut self) {
-        let (Some(speaker), Some(reread)) = (&mut self.speaker, &self.reread_service) else { return };
-        match reread() {
+    fn new_operators_files(&mut self) {
+        if let Some(reread) = &self.reread_teams {
+            match reread() {
+                Ok(file) => {
+                    log::info!(teams = file.teams.len(); "teams file taken");
+                    self.routing.teams(file);
+                }
+                Err(why) => {
+                    self.counters.reloads_refused += 1;
+                    log::warn!("the teams file is not taken, the running one stands: {why}");
+                }
+            }
+        }
+        let Some(speaker) = &mut self.speaker else { return };
+        match (self.reread_service)() {
             Ok(file) => speaker.change(file, self.steady.read()),
             Err(why) => {
                 self.counters.reloads_refused += 1;
@@ -450,7 +469,7 @@
     /// A configuration that can't be used changes nothing.
     fn new_configuration(&mut self, now: f64) {
         self.counters.reloads += 1;
-        self.new_service_file();
+        self.new_operators_files();
         match (self.reread)() {
             Ok(Reread { board, known }) => {
                 let token = self.board.told_anew(board, known, now, &mut self.news.lists);
--- a/crates/router/src/transport/sessions.rs
+++ b/crates/router/src/transport/sessions.rs
@@ -3,6 +3,7 @@
 use super::client::{Heard, Session};
 use super::{guarded, out_of_descriptors, watch, Handle, Source};
 use crate::protocol::mysql;
+use crate::protocol::statement::Question;
 use crate::routing::{Answer, Counters, News, SessionId};
 use calloop::{Readiness, RegistrationToken};
 use socket2::{Domain, Protocol, Socket, Type};
@@ -37,8 +38,8 @@
     kills: Vec<(SessionId, SessionId, bool)>,
     /// Those that asked for the counters.
     pub curious: Vec<SessionId>,
-    /// Those that asked how addresses stand.
-    pub asking: Vec<SessionId>,
+    /// Those that asked how something stands.
+    asking: Vec<(SessionId, Question)>,
     counters: Counters,
 }
 
@@ -164,7 +165,7 @@
             Some(Ok(Some(Heard::Unusable(why)))) => self.unusable(id, &why, now),
             Some(Ok(Some(Heard::Kill { session, query_only }))) => self.kills.push((id, session, query_only)),
             Some(Ok(Some(Heard::Counters))) => self.curious.push(id),
-            Some(Ok(Some(Heard::Announcements))) => self.asking.push(id),
+            Some(Ok(Some(Heard::Question(question)))) => self.asking.push((id, question)),
             Some(Err(error)) => {
                 log::debug!("session {id}: {error}");
                 closed = true;
@@ -240,14 +241,28 @@
         }
     }
 
-    /// Answers those that asked how addresses stand.
-    pub fn tell_announcements(&mut self, rows: Option<Vec<[String; 3]>>, now: f64) {
-        for id in std::mem::take(&mut self.asking) {
+    /// What was asked in this turn, each question once.
+    pub fn questions(&self) -> Vec<Question> {
+        let mut questions: Vec<Question> = Vec::new();
+        for (_, question) in &self.asking {
+            if !questions.contains(question) {
+                questions.push(*question);
+            }
+        }
+        questions
+    }
+
+    /// Answers those that asked this.
+    pub fn tell_how(&mut self, question: Question, rows: Option<&[[String; 3]]>, now: f64) {
+        let asking = std::mem::take(&mut self.asking);
+        let (asked, others) = asking.into_iter().partition(|one| one.1 == question);
+        self.asking = others;
+        for (id, _) in asked {
             if let Some(session) = self.sessions.get_mut(&id) {
                 session.since = now;
-                match &rows {
+                match rows {
                     Some(rows) => session.table(&["what", "state", "why"], rows),
-                    None => session.error(mysql::NOT_UNDERSTOOD, "no service addresses are announced here"),
+                    None => session.error(mysql::NOT_UNDERSTOOD, "there is nothing of the kind here"),
                 }
                 self.again.push(id);
             }
--- a/crates/router/tests/speaker.rs
+++ b/crates/router/tests/speaker.rs
@@ -346,6 +346,26 @@
     assert_eq!(announced(&far), 0);
 }
 
+#[test]
+fn a_session_over_ipv6_and_addresses_of_both_families() {
+    let peering = Peering::by_ipv6(open(false));
+    let text = service_file(&[&peering], "")
+        .replace("\"next_hop_ipv4\"", "\"next_hop_ipv6\":\"2001:db8::1\",\"next_hop_ipv4\"")
+        .replace("[\"198.51.100.7/32\"]", "[\"198.51.100.7/32\",\"2001:db8:7::7/128\"]");
+    let mut world = World::new(&text);
+    let six: ipnet::IpNet = "2001:db8:7::7/128".parse().unwrap();
+    let hop = |peering: &Peering| {
+        let table = peering.table();
+        let (_, path) = table.iter().find(|(net, _)| *net == six)?;
+        path.next_hop
+    };
+    peering.wait("announced for good", |peering| announced(peering) == 4);
+    assert_eq!(hop(&peering), Some("2001:db8::1".parse().unwrap()));
+    world.router.terminate();
+    peering.wait("withdrawn", |peering| peering.table().is_empty());
+    assert_eq!(world.router.ended().0, Some(0));
+}
+
 #[test]
 fn a_router_that_is_killed_leaves_no_route() {
     let peering = Peering::start(open(true));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,8 @@
 
 pub mod logic;
 
+pub use cleatgw_queue as queue;
+
 /// How far a repeat of a receipted job is dropped as such.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Reach {
@@ -127,6 +129,8 @@
     pub cost: Option<f64>,
     pub memory_mb: Option<f64>,
     pub cut_off: f64,
+    /// The line that it stands in while it is held, see [`queue`]; 0 where there are no teams.
+    pub team: usize,
 }
 
 /// How a push ended.
@@ -190,6 +194,8 @@
     fn call_off(&mut self, job: usize, push: u32);
     fn turn_back(&mut self, job: usize, come_back_in: Option<f64>);
     fn terminate(&mut self, job: usize);
+    /// How long a job that is held now is thought to wait for its first push; none where that can't be told.
+    fn waits(&mut self, _job: usize, _wait: Option<queue::Wait>) {}
     /// Asks for the list's changes from now on.
     fn watch(&mut self, on: bool);
     /// Asks for the whole list once.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -9,10 +9,12 @@
 //! 1. cold ramp: a cold engine gets our share of what it stands, or by lot what no share holds (`cold_room`);
 //! 2. engine doubt: a draw from the posterior of an engine's success ([`Doubt`]);
 //! 3. time-outs and further pushes: `time_out`, `overdue`, and a budget of them (`repeat_budget`);
-//! 4. holding and turning back: threads per core are limited ([`Room`]), the best credit for work goes first;
+//! 4. holding and turning back: threads per core are limited ([`Room`]), the best credit for work goes first,
+//!    teams in their turns ([`Line`], which keeps the order alone);
 //! 5. priority lanes by credit for work (`lane`).
 
 use crate::*;
+use cleatgw_queue::{Line, Waiting};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
@@ -329,6 +331,7 @@
     memory: f64,
     density: f64,
     expected_at: f64,
+    since: f64,
     ledger_held_at: Option<f64>,
     ledger_wait: f64,
     pushes: Vec<Push>,
@@ -336,11 +339,6 @@
 }
 
 impl Job {
-    /// Its place among the held: the densest first.
-    fn turn(&self, id: usize) -> (u64, usize) {
-        (u64::MAX - rank(self.density), id)
-    }
-
     fn out(&self) -> bool {
         self.pushes.iter().any(|push| push.out)
     }
@@ -358,6 +356,8 @@
     CutOff(usize),
     TooLate(usize),
     Overdue(usize, usize),
+    /// The window in which its receipt is known ends.
+    Expired(usize),
 }
 
 #[derive(Default)]
@@ -374,7 +374,10 @@
     /// Ready engines in each table group's hash order, kept until the list changes.
     orders: BTreeMap<u64, Rc<[usize]>>,
     jobs: BTreeMap<usize, Job>,
-    held: BTreeSet<(u64, usize)>,
+    line: Line,
+    /// Jobs that are held since this round began, and those whose push has just ended.
+    fresh: Vec<usize>,
+    again: Vec<usize>,
     keys: BTreeMap<u64, KeyLine>,
     due: BTreeSet<(u64, Due)>,
     taken_at: VecDeque<f64>,
@@ -483,16 +486,42 @@
         let expected_at = now - age + category.expected_time + category.stretch * work / category.threads;
         let density = category.credit / work.max(1e-3);
         self.density.add(density, work, 0.995);
-        let job = Job { taken, work, memory, density, expected_at, ..Job::default() };
+        let job = Job { taken, work, memory, density, expected_at, since: now, ..Job::default() };
         taken.key.into_iter().for_each(|key| self.keys.entry(key).or_default().jobs.push_back(id));
         // A job that comes too late for a drain is never held, so that nothing new is pushed.
         let closed = now >= self.takes_until;
-        self.held.extend(Some(job.turn(id)).filter(|_| !closed));
         self.due.extend(Some((rank(now), Due::CutOff(id))).filter(|_| closed));
         self.jobs.insert(id, job);
+        if !closed {
+            self.hold(now, id);
+            self.fresh.push(id);
+        }
         self.time_ends(id, self.stop);
     }
 
+    /// Teams have these lines from now on; jobs that are open move to where `team_of` says.
+    pub fn teams(&mut self, now: f64, line: Line, team_of: &dyn Fn(usize) -> usize) {
+        let before = std::mem::replace(&mut self.line, line);
+        let held: Vec<usize> = self.jobs.keys().copied().filter(|id| before.holds(*id)).collect();
+        for (id, job) in &mut self.jobs {
+            job.taken.team = team_of(*id);
+            job.pushes.iter().filter(|push| push.out).for_each(|_| self.line.carries(job.taken.team));
+        }
+        held.into_iter().for_each(|id| self.hold(now, id));
+    }
+
+    pub fn line(&self) -> &Line {
+        &self.line
+    }
+
+    fn hold(&mut self, now: f64, id: usize) {
+        let Job { taken, density, work, since, pushes, .. } = &self.jobs[&id];
+        let never_ran = pushes.iter().all(|push| push.never_ran);
+        let (density, work, since) = (*density, *work, *since);
+        let Taken { team, category, .. } = *taken;
+        self.line.hold(Waiting { job: id, team, category, density, work, since, never_ran }, now);
+    }
+
     /// Our instance drains: no job that is taken from then on is pushed.
     pub fn takes_until(&mut self, at: f64) {
         self.takes_until = at;
@@ -609,11 +638,18 @@
             line.rests_until = line.rests_until.max(now + self.given.key_rest);
         }
         self.settle(end.job, index);
+        let needed = if end.ending.never_ran() { 0.0 } else { work };
+        let Job { taken, work: charged, .. } = &self.jobs[&end.job];
+        self.line.over(taken.team, *charged, needed, now);
         if end.job_over {
             self.job_withdrawn(end.job);
         } else if let Some(job) = self.jobs.get(&end.job).filter(|job| !job.over && !job.out()) {
-            self.held.insert(job.turn(end.job));
             self.due.insert((rank(self.last_start(job)), Due::TooLate(end.job)));
+            if let Effect::Receipted { window, .. } = self.given.categories[category].effect {
+                self.due.insert((rank(sent + window), Due::Expired(end.job)));
+            }
+            self.hold(now, end.job);
+            self.again.push(end.job);
         }
         self.forget_if_done(end.job);
     }
@@ -648,6 +684,7 @@
                 Due::CutOff(id) => self.end(id, out),
                 Due::TooLate(id) => self.too_late(now, id, out),
                 Due::Overdue(id, push) => self.overdue(now, id, push, out),
+                Due::Expired(id) => self.end_if_stuck(now, id, out),
             }
         }
         self.log.drain(..).for_each(|line| out.log(&line));
@@ -701,26 +738,46 @@
         self.taken_at.retain(|&at| at >= now - window);
         self.repeats.retain(|&at| at >= now - window);
         if self.turning_back.take_if(|last| now > *last + 5.0).is_some() {
-            self.log.push(format!("turning none back: {} held", self.held.len()));
+            self.log.push(format!("turning none back: {} held", self.line.len()));
         }
     }
 
-    /// Pushes what is held, the best credit for its work first.
+    /// Tries what is held: teams in their turns, within a team the best credit for its work first.
     fn push_held(&mut self, now: f64, out: &mut dyn Writer) {
-        let waiting: Vec<(u64, usize)> = self.held.iter().copied().collect();
+        for id in std::mem::take(&mut self.again) {
+            self.end_if_stuck(now, id, out);
+        }
+        // A line that is longer than its team's may be: its last is told at once.
+        while let Some(id) = self.line.surplus() {
+            self.turns_back(now, id);
+            self.end(id, out);
+        }
         let mut failures = 0;
-        for entry in waiting {
-            if self.can_never_push(entry.1, now) {
-                self.end(entry.1, out);
-            } else if failures < 12 && self.in_turn(entry.1, now) {
-                match self.place(now, entry.1, out) {
-                    true => drop(self.held.remove(&entry)),
-                    false => failures += 1,
-                }
+        while failures < 12 {
+            let Some(id) = self.line.next(now) else { break };
+            match self.in_turn(id, now) && !self.can_never_push(id, now) {
+                true if self.place(now, id, out) => self.line.went(id, now),
+                tried => failures += u32::from(tried),
+            }
+        }
+        self.line.put_back(now);
+        for id in std::mem::take(&mut self.fresh) {
+            if self.line.parted() && self.line.holds(id) {
+                let wait = self.line.wait_of(id, now);
+                self.line.waits.told(id, wait, now);
+                out.waits(id, wait);
             }
         }
     }
 
+    /// A held job that no push can follow any more has its answer.
+    fn end_if_stuck(&mut self, now: f64, id: usize, out: &mut dyn Writer) {
+        let held = self.jobs.get(&id).is_some_and(|job| !job.over && !job.out());
+        if held && self.can_never_push(id, now) {
+            self.end(id, out);
+        }
+    }
+
     /// Grants by ROC against θ: the grant, and whether it is the quarter.
     fn grant(&mut self, id: usize) -> (f64, f64, bool) {
         let job = &self.jobs[&id];
@@ -945,7 +1002,7 @@
     pub fn job_withdrawn(&mut self, id: usize) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.over = true;
-        self.held.remove(&job.turn(id));
+        self.line.leave(id);
         self.due.remove(&(rank(job.taken.cut_off), Due::CutOff(id)));
         self.forget_if_done(id);
     }
@@ -1011,11 +1068,15 @@
             self.due.insert((rank(last), Due::TooLate(id)));
             return;
         }
+        self.turns_back(now, id);
+        self.end(id, out);
+    }
+
+    fn turns_back(&mut self, now: f64, id: usize) {
         if self.turning_back.replace(now).is_none() {
-            let (held, density) = (self.held.len(), job.density);
+            let (held, density) = (self.line.len(), self.jobs[&id].density);
             self.log.push(format!("turning back: {held} held, credit for work {density:.2}"));
         }
-        self.end(id, out);
     }
 
     /// A push is out for too long, and its engine has answered nothing since: counted again while it lasts.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -881,3 +881,81 @@
     world.round();
     assert_eq!(world.engines_of(heavy), [0]);
 }
+
+// ---- teams ----
+
+/// Two teams of these weights, whose lines hold so many jobs.
+fn teams(world: &mut World, weights: [f64; 2], most_queued: usize) {
+    teams_moved(world, weights, most_queued, 0);
+}
+
+/// The same, with all that is open moved to one of them.
+fn teams_moved(world: &mut World, weights: [f64; 2], most_queued: usize, to: usize) {
+    use cleatgw::queue::{Line, Terms};
+    let team = |weight| Terms { weight, most_queued, ..Terms::default() };
+    let line = Line::new(vec![Terms::default(), team(weights[0]), team(weights[1])], world.now);
+    world.gateway.teams(world.now, line, &|_| to);
+}
+
+#[test]
+fn a_greedy_team_does_not_keep_another_ones_jobs_from_their_engines() {
+    let order = |parted: bool| {
+        let mut world = World::new(plain(), 1);
+        if parted {
+            teams(&mut world, [1.0, 1.0], 1000);
+        }
+        // The greedy one's jobs are the denser ones, and there are a hundred.
+        let greedy: Vec<usize> =
+            (0..100).map(|_| world.job(0, |job| (job.team, job.cost) = (1, Some(0.1)))).collect();
+        let modest: Vec<usize> =
+            (0..3).map(|_| world.job(0, |job| (job.team, job.cost) = (2, Some(0.2)))).collect();
+        world.round();
+        let out = |jobs: &[usize]| jobs.iter().filter(|job| !world.engines_of(**job).is_empty()).count();
+        (out(&greedy), out(&modest))
+    };
+    let (greedy, modest) = order(false);
+    assert!(greedy > 3 && modest == 0, "{greedy} {modest}");
+    let (greedy, modest) = order(true);
+    assert!(greedy > 0 && modest == 3, "{greedy} {modest}");
+}
+
+#[test]
+fn a_line_that_is_too_long_has_its_last_turned_back_at_once_but_none_that_may_have_run() {
+    let mut world = World::new(plain(), 1);
+    teams(&mut world, [1.0, 1.0], 2);
+    let ran = world.job(0, |job| (job.team, job.cost) = (1, Some(9.0)));
+    world.round();
+    assert_eq!(world.engines_of(ran).len(), 1);
+    let later: Vec<usize> =
+        (0..60).map(|_| world.job(0, |job| (job.team, job.cost) = (1, Some(0.1)))).collect();
+    world.round();
+    // Its push breaks: it may have run, and waits for the last in the line.
+    world.over(ran, Ending::Broken, 0.1);
+    world.round();
+    world.round();
+    let back = |job: &usize| matches!(world.answers(*job)[..], [(_, Wrote::TurnBack(_))]);
+    let out = later.iter().filter(|job| !world.engines_of(**job).is_empty()).count();
+    let told = later.iter().filter(|job| back(job)).count();
+    // One more than two, as the one that may have run is not displaced.
+    assert!(told > 20 && told + out <= 60 && told + out + 2 >= 60, "{told} told, {out} out");
+    assert!(world.answers(ran).is_empty());
+}
+
+#[test]
+fn new_lines_take_over_what_waits_and_what_is_out() {
+    let mut world = World::new(plain(), 1);
+    teams(&mut world, [1.0, 1.0], 1000);
+    let jobs: Vec<usize> =
+        (0..50).map(|_| world.job(0, |job| (job.team, job.cost) = (1, Some(0.2)))).collect();
+    world.round();
+    let out = |world: &World| jobs.iter().filter(|job| !world.engines_of(**job).is_empty()).count();
+    let before = out(&world);
+    assert!(before > 0 && before < 50);
+    // The team is gone from the file: its jobs wait among the others, and none is lost.
+    teams_moved(&mut world, [1.0, 1.0], 1000, 2);
+    assert_eq!((world.gateway.line().len(), world.gateway.line().of(2).2), (50 - before, before));
+    let first = *jobs.iter().find(|job| !world.engines_of(**job).is_empty()).unwrap();
+    world.over(first, Ending::Delivered, 0.2);
+    world.pass(0.05);
+    assert_eq!(out(&world), before + 1);
+}
