Teams: a greedy team's light jobs no longer fill what another's heavy ones wait for

Estimates go by what a team had of late while it waited, and learn their errors by quarter of the line.

--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -224,6 +224,7 @@
             return;
         }
         let waiting = Waiting { team: waiting.team.min(self.nodes.len() - 1), ..waiting };
+        self.waits.joins(waiting.team, self.nodes[waiting.team].queued == 0, self.waiting.is_empty(), now);
         self.waiting.insert(waiting.job, waiting);
         self.enter(&waiting);
         self.refilled(now);
@@ -493,7 +494,7 @@
         let node = self.nodes.get(team)?;
         let waiting =
             Waiting { job: usize::MAX, team, category: 0, density: 1.0, work, since: now, never_ran: true };
-        self.waits.estimate(&waiting, node.queued_work, self.share(team), now)
+        self.waits.estimate(&waiting, node.queued_work, node.queued_work, self.share(team), now)
     }
 
     /// How many lines there are, groups among them.
@@ -509,8 +510,9 @@
         // Work ahead in its own line: exact for the first ones, by the mean for the rest.
         let ahead = line.range(..key).take(256).filter_map(|(_, job)| self.waiting.get(job));
         let (count, work) = ahead.fold((0usize, 0.0), |(count, work), one| (count + 1, work + one.work));
-        let work = if count == 256 { self.nodes[waiting.team].queued_work.max(work) } else { work };
-        self.waits.estimate(waiting, work, self.share(waiting.team), now)
+        let all = self.nodes[waiting.team].queued_work;
+        let work = if count == 256 { all.max(work) } else { work };
+        self.waits.estimate(waiting, work, all, self.share(waiting.team), now)
     }
 }
 
--- a/crates/queue/src/waits.rs
+++ b/crates/queue/src/waits.rs
@@ -10,6 +10,8 @@
     /// Four waits in five are thought to lie between these.
     pub from: f64,
     pub to: f64,
+    /// The part of the line that it was made for, which its error is learned by.
+    pub part: usize,
 }
 
 /// A mean that forgets.
@@ -31,26 +33,61 @@
     }
 }
 
-/// What one team's estimates turned out to be worth.
-#[derive(Clone, Debug, Default)]
+/// What estimates turned out to be worth.
+#[derive(Clone, Copy, Debug, Default)]
 struct Errors {
     /// The logarithm of the true wait over the estimated one, and how far off that mean they are.
     bias: Mean,
     spread: Mean,
 }
 
-#[derive(Clone, Debug)]
-pub struct Waits {
-    teams: Vec<Errors>,
-    /// Work that went through, and the time that it took while some waited.
+/// How fast work goes through.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rate {
     work: f64,
+    /// Time in which some waited.
     time: f64,
     last: Option<f64>,
-    /// Estimates that were made, until their jobs go: job, when, how long. Bounded.
-    made: std::collections::BTreeMap<usize, (f64, f64)>,
-    /// Estimates that were compared, those within a fifth of the truth, and jobs that waited without one.
+}
+
+impl Rate {
+    /// So much has gone; time counts from the last one, or from when the line was last empty.
+    fn went(&mut self, work: f64, now: f64) {
+        // A gap counts for no more than silence does.
+        let passed = self.last.map_or(0.0, |last| (now - last).clamp(0.0, Waits::SILENT));
+        let keep = (-passed / Waits::HALF_LIFE).exp2();
+        (self.work, self.time) = (self.work * keep + work, self.time * keep + passed);
+        self.last = Some(now);
+    }
+
+    /// Work a second, if it can be told: not after a silence.
+    fn now(&self, now: f64) -> Option<f64> {
+        let silent = now - self.last?;
+        (silent < Waits::SILENT && self.time > 0.05 && self.work > 0.0)
+            .then(|| self.work / (self.time + silent))
+    }
+}
+
+/// Estimates err otherwise at a line's front, where luck decides, than at its end, where later and denser jobs go ahead.
+const PARTS: usize = 4;
+
+#[derive(Clone, Debug, Default)]
+struct Team {
+    errors: [Errors; PARTS],
+    rate: Rate,
+}
+
+#[derive(Clone, Debug)]
+pub struct Waits {
+    teams: Vec<Team>,
+    all: Rate,
+    /// Estimates that were made, until their jobs go: when, how long, and from which part of the line. Bounded.
+    made: std::collections::BTreeMap<usize, (f64, f64, usize)>,
+    /// Estimates that were compared, those within a fifth of the truth, those within that or 20 ms, and jobs that waited
+    /// without one.
     pub compared: u64,
     pub within_a_fifth: u64,
+    pub near: u64,
     pub unknown: u64,
 }
 
@@ -65,36 +102,44 @@
 
     pub fn new(teams: usize) -> Waits {
         Waits {
-            teams: vec![Errors::default(); teams],
-            work: 0.0,
-            time: 0.0,
-            last: None,
+            teams: vec![Team::default(); teams],
+            all: Rate::default(),
             made: Default::default(),
             compared: 0,
             within_a_fifth: 0,
+            near: 0,
             unknown: 0,
         }
     }
 
-    /// A job has gone: the rate, and what its estimate was worth.
+    /// A job joins a line in which none, of its team and of all, stood before: the time of idleness does not count.
+    pub fn joins(&mut self, team: usize, first_of_team: bool, first_of_all: bool, now: f64) {
+        if first_of_team {
+            self.teams[team].rate.last = self.teams[team].rate.last.map(|_| now);
+        }
+        if first_of_all {
+            self.all.last = self.all.last.map(|_| now);
+        }
+    }
+
+    /// A job has gone: the rates, and what its estimate was worth.
     pub fn went(&mut self, waiting: &Waiting, now: f64) {
-        // Time in which nobody waited is nobody's: a gap counts for no more than silence does.
-        let passed = self.last.map_or(0.0, |last| (now - last).clamp(0.0, Waits::SILENT));
-        let keep = (-passed / Waits::HALF_LIFE).exp2();
-        (self.work, self.time) = (self.work * keep + waiting.work, self.time * keep + passed);
-        self.last = Some(now);
-        let Some((made, estimate)) = self.made.remove(&waiting.job) else { return };
+        self.all.went(waiting.work, now);
+        self.teams[waiting.team].rate.went(waiting.work, now);
+        let Some((made, estimate, part)) = self.made.remove(&waiting.job) else { return };
         let truth = now - made;
         if truth < Waits::LEAST {
             return;
         }
+        let off = (truth - estimate).abs();
         self.compared += 1;
-        self.within_a_fifth += u64::from((truth - estimate).abs() <= 0.2 * truth);
-        let errors = &mut self.teams[waiting.team];
-        let off = (truth / estimate.max(Waits::LEAST)).ln().clamp(-3.0, 3.0);
-        errors.spread.add(off.abs(), 0.95);
+        self.within_a_fifth += u64::from(off <= 0.2 * truth);
+        self.near += u64::from(off <= (0.2 * truth).max(0.02));
+        let errors = &mut self.teams[waiting.team].errors[part];
+        let ratio = (truth / estimate.max(Waits::LEAST)).ln().clamp(-3.0, 3.0);
+        errors.spread.add(ratio.abs(), 0.95);
         // The estimate was corrected by the bias already: what is left of it is learned.
-        errors.bias.add(errors.bias.with(2.0) + 0.5 * off, 0.95);
+        errors.bias.add(errors.bias.with(2.0) + 0.5 * ratio, 0.95);
     }
 
     /// It waits no more, and did not go.
@@ -106,28 +151,32 @@
     pub fn told(&mut self, job: usize, wait: Option<Wait>, now: f64) {
         match wait {
             Some(wait) if self.made.len() < Waits::MOST_MADE => {
-                self.made.insert(job, (now, wait.expected));
+                self.made.insert(job, (now, wait.expected, wait.part));
             }
             _ => self.unknown += 1,
         }
     }
 
-    /// Work a second that goes through, if it can be told.
-    fn rate(&self, now: f64) -> Option<f64> {
-        let last = self.last?;
-        let silent = now - last;
-        // A silence that is longer than gaps usually are is part of the rate already.
-        (silent < Waits::SILENT && self.time > 0.05).then(|| self.work / (self.time + silent))
-    }
-
-    pub(crate) fn estimate(&self, waiting: &Waiting, ahead: f64, share: f64, now: f64) -> Option<Wait> {
-        let rate = self.rate(now).filter(|rate| *rate > 0.0)?;
-        let errors = self.teams.get(waiting.team)?;
-        // It goes once what is ahead has gone; half a job is out on average when it comes.
-        let plain = (ahead + 0.5 * waiting.work) / (rate * share.max(1e-6));
+    /// `ahead` is the work ahead in its line, `line` all of that line's.
+    pub(crate) fn estimate(
+        &self,
+        waiting: &Waiting,
+        ahead: f64,
+        line: f64,
+        share: f64,
+        now: f64,
+    ) -> Option<Wait> {
+        let all = self.all.now(now)?;
+        let team = self.teams.get(waiting.team)?;
+        // What the team had of late while it waited says more than its weight; without that, its share.
+        let rate = team.rate.now(now).unwrap_or(all * share.max(1e-6));
+        let part = ((ahead / line.max(1e-9) * PARTS as f64) as usize).min(PARTS - 1);
+        let errors = &team.errors[part];
+        // It goes once what is ahead has gone, and its own turn has come.
+        let plain = (ahead + 0.5 * waiting.work) / rate;
         let expected = plain * errors.bias.with(2.0).exp();
         let spread = (errors.spread.sum + 0.5) / (errors.spread.weight + 1.0);
         let factor = (1.6 * spread).exp();
-        Some(Wait { expected, from: expected / factor, to: expected * factor })
+        Some(Wait { expected, from: expected / factor, to: expected * factor, part })
     }
 }
--- a/crates/router/src/routing/counters.rs
+++ b/crates/router/src/routing/counters.rs
@@ -82,6 +82,8 @@
     /// Estimated waits that were compared with the true ones, those within a fifth, and jobs that waited without one.
     waits_compared,
     waits_within_a_fifth,
+    /// Within a fifth or 20 ms.
+    waits_near,
     waits_unknown,
     module_panics,
     panics,
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -312,7 +312,7 @@
         let Some(job) = self.desk.jobs.get(&job) else { return };
         let id = job.request.id.as_str();
         match wait {
-            Some(Wait { expected, from, to }) => {
+            Some(Wait { expected, from, to, .. }) => {
                 log::debug!(call = id, wait = expected, from = from, to = to; "job {id} is thought to wait {expected:.3} s");
             }
             None => log::debug!(call = id; "job {id} waits, for how long can't be told"),
@@ -400,6 +400,7 @@
         let waits = &self.gateway.line().waits;
         self.desk.counters.waits_compared = waits.compared;
         self.desk.counters.waits_within_a_fifth = waits.within_a_fifth;
+        self.desk.counters.waits_near = waits.near;
         self.desk.counters.waits_unknown = waits.unknown;
         self.desk.counters.open = self.desk.job_of.len() as u64;
         &mut self.desk.counters
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -377,6 +377,8 @@
     line: Line,
     /// Jobs that are held since this round began, and those whose push has just ended.
     fresh: Vec<usize>,
+    /// With teams: a job whose turn came before found no room in this round.
+    passed_by: bool,
     again: Vec<usize>,
     keys: BTreeMap<u64, KeyLine>,
     due: BTreeSet<(u64, Due)>,
@@ -755,6 +757,8 @@
         let mut failures = 0;
         while failures < 12 {
             let Some(id) = self.line.next(now) else { break };
+            // Another team's light jobs must not fill what a heavy one, whose turn it is, waits for.
+            self.passed_by = failures > 0 && self.line.parted();
             match self.in_turn(id, now) && !self.can_never_push(id, now) {
                 true if self.place(now, id, out) => self.line.went(id, now),
                 tried => failures += u32::from(tried),
@@ -816,7 +820,7 @@
             open.truncate(if far { open.len().div_ceil(2) } else { open.len() });
         }
         let stalls = category.holds_tables || category.waits_for_holders;
-        let light = self.light(id);
+        let light = self.light(id) && !self.passed_by;
         let engine = |at: &usize| &self.engines[*at];
         // Behind a holder of ours it would only stand still, and keep its memory.
         open.retain(|at| self.may_push(id, *at, now) && !(stalls && engine(at).holding.contains(&group)));
