--- a/src/logic.rs
+++ b/src/logic.rs
@@ -683,7 +683,7 @@
         while let Some((_, due)) = self.due.first().copied().filter(|&(at, _)| at <= rank(now)) {
             self.due.pop_first();
             match due {
-                Due::CutOff(id) => self.end(id, out),
+                Due::CutOff(id) => self.end(now, id, out),
                 Due::TooLate(id) => self.too_late(now, id, out),
                 Due::Overdue(id, push) => self.overdue(now, id, push, out),
                 Due::Expired(id) => self.end_if_stuck(now, id, out),
@@ -752,7 +752,7 @@
         // A line that is longer than its team's may be: its last is told at once.
         while let Some(id) = self.line.surplus() {
             self.turns_back(now, id);
-            self.end(id, out);
+            self.end(now, id, out);
         }
         let mut failures = 0;
         while failures < 12 {
@@ -778,7 +778,7 @@
     fn end_if_stuck(&mut self, now: f64, id: usize, out: &mut dyn Writer) {
         let held = self.jobs.get(&id).is_some_and(|job| !job.over && !job.out());
         if held && self.can_never_push(id, now) {
-            self.end(id, out);
+            self.end(now, id, out);
         }
     }
 
@@ -987,8 +987,18 @@
         job.pushes.len() as u32 >= self.given.most_pushes || !ran.all(may_repeat)
     }
 
+    /// When to come back, no later than clients follow: with teams, once the line would take the job by its estimate.
+    /// Spread by chance, so that those that are turned back together do not return as one.
+    fn advice(&mut self, now: f64, id: usize) -> Option<f64> {
+        let (most, job) = (self.given.advice?, &self.jobs[&id]);
+        let wait = self.line.wait_for(job.taken.team, job.work, now).filter(|_| self.line.parted());
+        self.draws += u64::from(wait.is_some());
+        let spread = 0.8 + 0.4 * mix((self.seed, self.draws)) as f64 / u64::MAX as f64;
+        Some(wait.map_or(most, |wait| (spread * wait.expected).clamp(most / 10.0, most)))
+    }
+
     /// Rule 1: the one place where a job gets its answer from us.
-    fn end(&mut self, id: usize, out: &mut dyn Writer) {
+    fn end(&mut self, now: f64, id: usize, out: &mut dyn Writer) {
         let Some(job) = self.jobs.get(&id).filter(|job| !job.over) else { return };
         let unseen = job.pushes.iter().all(|push| push.never_ran);
         let harmless = match self.given.categories[job.taken.category].effect {
@@ -996,7 +1006,10 @@
             _ => unseen,
         };
         match harmless {
-            true => out.turn_back(id, self.given.advice),
+            true => {
+                let advice = self.advice(now, id);
+                out.turn_back(id, advice)
+            }
             false => out.terminate(id),
         }
         self.job_withdrawn(id);
@@ -1073,7 +1086,7 @@
             return;
         }
         self.turns_back(now, id);
-        self.end(id, out);
+        self.end(now, id, out);
     }
 
     fn turns_back(&mut self, now: f64, id: usize) {
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -18,6 +18,8 @@
     pub log: Vec<String>,
     /// Of each push.
     pub time_outs: Vec<Option<f64>>,
+    /// Of each job turned back.
+    pub advice: Vec<Option<f64>>,
     now: f64,
     terms: (u8, f64),
 }
@@ -40,7 +42,8 @@
     fn call_off(&mut self, job: usize, _push: u32) {
         self.note(Wrote::CallOff(job));
     }
-    fn turn_back(&mut self, job: usize, _come_back_in: Option<f64>) {
+    fn turn_back(&mut self, job: usize, come_back_in: Option<f64>) {
+        self.advice.push(come_back_in);
         self.note(Wrote::TurnBack(job));
     }
     fn terminate(&mut self, job: usize) {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -959,3 +959,35 @@
     world.pass(0.05);
     assert_eq!(out(&world), before + 1);
 }
+
+#[test]
+fn a_team_that_is_turned_back_is_told_when_its_line_would_take_it() {
+    let advice = |parted: bool| {
+        let mut world = World::new(Deployment { advice: Some(60.0), ..plain() }, 1);
+        if parted {
+            teams(&mut world, [1.0, 1.0], 30);
+        }
+        // Its line moves: eight jobs go and end each tenth of a second.
+        let mut out = Vec::new();
+        for _ in 0..30 {
+            (0..8).for_each(|_| out.push(world.job(0, |job| (job.team, job.cost) = (1, Some(0.1)))));
+            world.round();
+            world.pass(0.1);
+            for job in std::mem::take(&mut out) {
+                match world.engines_of(job).is_empty() {
+                    true => out.push(job),
+                    false => world.over(job, Ending::Delivered, 0.1),
+                }
+            }
+        }
+        for _ in 0..100 {
+            world.job(0, |job| (job.team, job.cost) = (1, Some(0.1)));
+        }
+        world.pass(3.0);
+        world.book.advice.clone()
+    };
+    let plainly = advice(false);
+    assert!(!plainly.is_empty() && plainly.iter().all(|told| *told == Some(60.0)), "{plainly:?}");
+    let honest = advice(true);
+    assert!(honest.iter().any(|told| told.is_some_and(|wait| (6.0..30.0).contains(&wait))), "{honest:?}");
+}
