Line by team: a budget that is used up is remembered once

Cause: each job of a team over its budget put one more entry into the set of refills (Line::charge), and an entry that came due while the team was still over put itself back: the set grew with every job for as long as a team stayed over. Change: a node has one entry at most (Line::owes).

--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -93,6 +93,8 @@
     start: f64,
     place: Option<Place>,
     bucket: Option<Bucket>,
+    /// Its place among the budgets that are used up: one at most.
+    refill: Option<u64>,
     /// Only in a leaf: the line, and those of it that may be displaced.
     line: BTreeSet<(u64, usize)>,
     movable: BTreeSet<(u64, usize)>,
@@ -106,6 +108,7 @@
         Node {
             bucket: terms.budget.map(|(rate, burst)| Bucket::new(rate, burst, now)),
             terms,
+            refill: None,
             active: BTreeSet::new(),
             virtual_time: 0.0,
             start: 0.0,
@@ -336,16 +339,25 @@
     fn refilled(&mut self, now: f64) {
         while let Some(&(due, at)) = self.refills.first().filter(|(due, _)| *due <= rank(now)) {
             self.refills.remove(&(due, at));
+            self.nodes[at].refill = None;
             if let Some(bucket) = &mut self.nodes[at].bucket {
                 bucket.fill(now);
-                if bucket.empty() {
-                    self.refills.insert((rank(bucket.full_at(now)), at));
-                }
             }
+            self.owes(at, now);
             self.replace(at);
         }
     }
 
+    /// A budget that is used up is looked at again once it is earned, or was to be when it was first used up.
+    fn owes(&mut self, at: usize, now: f64) {
+        let node = &mut self.nodes[at];
+        if let (Some(bucket), None) = (node.bucket.as_ref().filter(|bucket| bucket.empty()), node.refill) {
+            let due = rank(bucket.full_at(now));
+            node.refill = Some(due);
+            self.refills.insert((due, at));
+        }
+    }
+
     /// The next job to try. It is on offer until [`Line::went`], or is put back by [`Line::put_back`].
     pub fn next(&mut self, now: f64) -> Option<usize> {
         self.refilled(now);
@@ -377,10 +389,8 @@
         node.start = (node.start + work / node.terms.weight).max(0.0);
         if let Some(bucket) = &mut node.bucket {
             bucket.spend(work, now);
-            if bucket.empty() {
-                self.refills.insert((rank(bucket.full_at(now)), at));
-            }
         }
+        self.owes(at, now);
     }
 
     /// A job on offer was pushed; it stays charged, and those that join from now on join where it stood.
--- a/crates/queue/src/tests.rs
+++ b/crates/queue/src/tests.rs
@@ -180,6 +180,16 @@
     assert!((6.0..=8.0).contains(&world.had[1]), "{:?}", world.had);
 }
 
+#[test]
+fn a_team_that_is_over_its_budget_for_long_is_remembered_once() {
+    let mut tree = teams(&[1.0, 1.0]);
+    tree[1].budget = Some((0.1, 0.5));
+    let mut world = World::new(tree);
+    world.fill(1, 5000, 0.05);
+    world.run(200.0);
+    assert!(world.had[1] > 190.0 && world.line.refills.len() <= 1, "{}", world.line.refills.len());
+}
+
 /// Hard case: estimates of work that are wrong by ten times.
 #[test]
 fn who_asks_for_little_and_needs_much_pays_later() {
