Line by team: every bound is kept, however many teams are longer

Cause: Line::surplus looked at the sixteen longest lines only, so a small team past its own bound was never found beside many longer ones; a group's bounds were read from the file and kept by nobody; `too_long`, `due` and the adaptive limit had no user. Change: lines that are too long are a set, kept as jobs come and go; a group that states what only a team has is refused by its field; what nobody used is out. Without teams nothing changes.

--- a/crates/operator/src/teams.rs
+++ b/crates/operator/src/teams.rs
@@ -39,9 +39,10 @@
     /// Work within which it goes ahead of teams that are over theirs. Absent: never over.
     #[serde(default)]
     pub budget: Option<BudgetPart>,
-    /// Jobs, and seconds of work, that may be in line. Beyond them the last that never ran is turned back.
-    #[serde(default = "most_queued")]
-    pub most_queued: usize,
+    /// Jobs, and seconds of work, that may be in line; absent: 10000, and any. Beyond them the last that never ran is
+    /// turned back. This and what follows is a team's alone: a group has none of it.
+    #[serde(default)]
+    pub most_queued: Option<usize>,
     #[serde(default)]
     pub most_queued_work_s: Option<f64>,
     /// Jobs that it may have out at engines at once, at least 1.
@@ -202,12 +203,20 @@
             seconds(&field("budget.rate"), budget.rate, 0.0, 1e6)?;
             seconds(&field("budget.burst_s"), budget.burst_s, 0.0, 1e6)?;
         }
-        if team.most_queued == 0 || team.most_out == Some(0) {
-            return wrong(
-                field(if team.most_queued == 0 { "most_queued" } else { "most_out" }),
-                "1 or more",
-                0,
-            );
+        for (name, count) in [("most_queued", team.most_queued), ("most_out", team.most_out)] {
+            if count == Some(0) {
+                return wrong(field(name), "1 or more", 0);
+            }
+        }
+        let own = [
+            ("most_queued", team.most_queued.is_some()),
+            ("most_queued_work_s", team.most_queued_work_s.is_some()),
+            ("most_out", team.most_out.is_some()),
+            ("ageing_s", team.ageing_s.is_some()),
+            ("order", !team.order.is_empty()),
+        ];
+        if let Some((name, _)) = own.iter().find(|(_, set)| *set && !team.teams.is_empty()) {
+            return wrong(field(name), "none, as it is a group", "one");
         }
         if let Some(work) = team.most_queued_work_s {
             seconds(&field("most_queued_work_s"), work, 0.001, 1e9)?;
@@ -239,7 +248,7 @@
             parent,
             weight: team.weight,
             budget: team.budget.as_ref().map(|budget| (budget.rate, budget.burst_s)),
-            most_queued: team.most_queued,
+            most_queued: team.most_queued.unwrap_or_else(most_queued),
             most_queued_work: team.most_queued_work_s.unwrap_or(f64::INFINITY),
             most_out: team.most_out.unwrap_or(usize::MAX),
             ageing: team.ageing_s,
@@ -284,6 +293,11 @@
             ("\"mondego\"", "\"vouga\"", "teams[1].name: expected a name of its own, got vouga"),
             ("\"mondego\"", "\"mon dego\"", "teams[0].name: expected 1 to 64 letters"),
             ("\"weight\": 85", "\"wait\": 85", "teams[0].wait: unknown field `wait`"),
+            (
+                "\"weight\": 10,",
+                "\"weight\": 10, \"most_out\": 3,",
+                "teams[2].most_out: expected none, as it is a group",
+            ),
             ("\"rate\": 0.5", "\"rate\": -1", "teams[2].teams[0].budget.rate: expected seconds from 0"),
         ] {
             assert!(GOOD.contains(was), "{was}");
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -10,11 +10,9 @@
 //!
 //! Times are seconds on the host's clock, work is seconds of one core.
 
-mod adapt;
 mod bucket;
 mod waits;
 
-pub use adapt::Adaptive;
 pub use bucket::Bucket;
 pub use waits::{Wait, Waits};
 
@@ -138,8 +136,9 @@
 pub struct Line {
     nodes: Vec<Node>,
     waiting: BTreeMap<usize, Waiting>,
-    /// Teams by the work that they have in line for their weight.
+    /// Teams by the work that they have in line for their weight, and those whose line is longer than it may be.
     longest: BTreeSet<(u64, usize)>,
+    too_long: BTreeSet<usize>,
     offers: Vec<Offer>,
     /// When a team's budget is no longer used up, by time.
     refills: BTreeSet<(u64, usize)>,
@@ -180,6 +179,7 @@
             nodes: teams.into_iter().map(|terms| Node::new(terms, now)).collect(),
             waiting: BTreeMap::new(),
             longest: BTreeSet::new(),
+            too_long: BTreeSet::new(),
             offers: Vec::new(),
             refills: BTreeSet::new(),
             most_queued,
@@ -269,9 +269,16 @@
         }
         self.longest.remove(&before);
         let after = self.length(team);
-        if self.nodes[team].queued > 0 {
+        let node = &self.nodes[team];
+        if node.queued > 0 {
             self.longest.insert(after);
         }
+        // One job alone is never too much work: it could not come at all.
+        let much = node.queued_work > node.terms.most_queued_work && node.queued > 1;
+        match much || node.queued > node.terms.most_queued {
+            true => self.too_long.insert(team),
+            false => self.too_long.remove(&team),
+        };
     }
 
     fn length(&self, team: usize) -> (u64, usize) {
@@ -445,32 +452,9 @@
     /// weight. It stays in line until it is taken off by [`Line::leave`].
     pub fn surplus(&self) -> Option<usize> {
         let last = |team: usize| self.nodes[team].movable.last().map(|&(_, job)| job);
-        let too_long = |team: usize| {
-            let node = &self.nodes[team];
-            node.queued > node.terms.most_queued
-                || node.queued_work > node.terms.most_queued_work && node.queued > 1
-        };
-        // The longest first: few are looked at, as each that is too long is brought down in turn.
-        let longest = self.longest.iter().rev().map(|&(_, team)| team);
-        if self.waiting.len() > self.most_queued {
-            if let Some(job) = longest.clone().find_map(last) {
-                return Some(job);
-            }
-        }
-        longest.take(16).filter(|team| too_long(*team)).find_map(last)
-    }
-
-    /// Whether the team's own line has grown past its bound.
-    pub fn too_long(&self, team: usize) -> Option<usize> {
-        let node = self.nodes.get(team)?;
-        let passed = node.queued > node.terms.most_queued
-            || node.queued_work > node.terms.most_queued_work && node.queued > 1;
-        passed.then(|| node.movable.last().map(|&(_, job)| job)).flatten()
-    }
-
-    /// When [`Line::next`] may have something though nothing else happens: a budget is no longer used up.
-    pub fn due(&self) -> f64 {
-        self.refills.first().map_or(f64::INFINITY, |&(at, _)| f64::from_bits(at))
+        let longest = || self.longest.iter().rev().find_map(|&(_, team)| last(team));
+        let of_all = self.waiting.len() > self.most_queued;
+        of_all.then(longest).flatten().or_else(|| self.too_long.iter().find_map(|team| last(*team)))
     }
 
     /// The share of all that goes through which this team has while those wait that wait now.
@@ -517,7 +501,7 @@
         let waiting = self.waiting.get(&job)?;
         let key = self.key(waiting);
         let line = &self.nodes[waiting.team].line;
-        // Work ahead in its own line: exact for the first ones, by the mean for the rest.
+        // Work ahead in its own line; far back in a long one, all of that line is taken to be ahead.
         let ahead = line.range(..key).take(256).filter_map(|(_, job)| self.waiting.get(job));
         let (count, work) = ahead.fold((0usize, 0.0), |(count, work), one| (count + 1, work + one.work));
         let all = self.nodes[waiting.team].queued_work;
--- a/crates/queue/src/tests.rs
+++ b/crates/queue/src/tests.rs
@@ -253,10 +253,10 @@
     };
     (0..3).for_each(|job| hold(&mut line, job, 1, true));
     (10..30).for_each(|job| hold(&mut line, job, 2, true));
-    assert_eq!((line.too_long(1), line.surplus()), (None, None));
+    assert_eq!(line.surplus(), None);
     // The last one may have run: the one before it goes.
     hold(&mut line, 3, 1, false);
-    assert_eq!((line.too_long(1), line.surplus()), (Some(2), Some(2)));
+    assert_eq!(line.surplus(), Some(2));
     line.leave(2);
     assert_eq!((line.surplus(), line.len()), (None, 23));
     // All may have run: nobody is displaced, however long it is.
@@ -265,6 +265,21 @@
     assert_eq!(line.surplus(), None);
 }
 
+/// A bound holds for every team, also for one that is short beside many others.
+#[test]
+fn a_small_team_past_its_bound_is_found_among_many_longer_ones() {
+    let mut tree = teams(&[1.0; 50]);
+    tree[50].most_queued = 1;
+    let mut line = Line::new(tree, 0.0);
+    for job in 0..100 {
+        let (team, work) = if job < 98 { (1 + job % 49, 1.0) } else { (50, 0.01) };
+        line.hold(Waiting { job, team, category: 0, density: 1.0, work, since: 0.0, never_ran: true }, 0.0);
+    }
+    assert_eq!(line.surplus(), Some(99));
+    line.leave(99);
+    assert_eq!(line.surplus(), None);
+}
+
 #[test]
 fn the_bound_of_all_takes_from_the_longest_line_for_its_weight() {
     let mut tree = teams(&[1.0, 4.0]);
