Service file: an address that comes or goes costs no session

Cause: Speaker::change compared the whole terms of a peer, the service addresses among them, so each change of one address ended every session with a Cease and took all other addresses away for as long as they took to come back. Change: Peer::change takes over other addresses of the families that are spoken and asks for their paths again (RFC 2918); only what is else new ends a session. A lead that is lost with its session is cleared whatever other connection is open.

--- a/crates/bgp/src/learned.rs
+++ b/crates/bgp/src/learned.rs
@@ -35,12 +35,8 @@
 
 impl Learned {
     pub fn new(services: &[IpNet], most: usize) -> Learned {
-        let mut set = JointPrefixSet::new();
-        services.iter().for_each(|net| {
-            set.insert(net.trunc());
-        });
         Learned {
-            services: set,
+            services: services.iter().map(|net| net.trunc()).collect(),
             routes: JointPrefixMap::new(),
             most,
             stale_until: f64::INFINITY,
@@ -49,6 +45,14 @@
         }
     }
 
+    /// Other service addresses from now on: what led to those that are gone is forgotten, what leads to new ones has
+    /// been passed over and must be asked for again.
+    pub fn serve(&mut self, services: &[IpNet]) {
+        self.services = services.iter().map(|net| net.trunc()).collect();
+        let services = &self.services;
+        self.routes.retain(|net, _| services.get_lpm(&net).is_some());
+    }
+
     /// A route is of use where it is a service address, or a part of one that would draw its clients away.
     pub fn insert(&mut self, net: IpNet, attributes: &Attributes) {
         if self.services.get_lpm(&net).is_none() {
--- a/crates/bgp/src/session.rs
+++ b/crates/bgp/src/session.rs
@@ -310,8 +310,27 @@
         }
     }
 
-    pub fn terms(&self) -> &PeerTerms {
-        &self.terms
+    /// Takes over new terms where a session need not end for them: other service addresses of the families that are
+    /// spoken. What the peer has of them is asked for again (RFC 2918). False: nothing was done.
+    pub fn change(&mut self, terms: &PeerTerms) -> bool {
+        if (PeerTerms { services: Vec::new(), ..terms.clone() })
+            != (PeerTerms { services: Vec::new(), ..self.terms.clone() })
+        {
+            return false;
+        }
+        if terms.services != self.terms.services {
+            self.terms.services.clone_from(&terms.services);
+            self.learned.serve(&terms.services);
+            if let Some((_, conn)) = self.up() {
+                let theirs = conn.theirs.as_ref().is_some_and(|open| open.capabilities.refresh);
+                let spoken =
+                    Family::ALL.into_iter().filter(|family| conn.speaks(*family)).collect::<Vec<_>>();
+                for family in spoken.into_iter().filter(|_| theirs) {
+                    message::put_refresh(&mut conn.out, Refresh::Asked(family));
+                }
+            }
+        }
+        true
     }
 
     /// RFC 4271 section 10: 0.75 to 1, so that peers do not move in step.
@@ -666,14 +685,14 @@
             format!("{} in {:?}: {why}", if was_up { "lost" } else { "no session" }, conn.state()),
         );
         self.last_error = Some(why);
-        if self.live(side.other()) {
-            return;
-        }
         let draining = self.will != Will::Run;
-        if draining {
-            // What was out went with the session, and does not come back.
+        if draining && was_up {
+            // What was out went with the session, and does not come back with another one.
             self.wanted.clear();
         }
+        if self.live(side.other()) {
+            return;
+        }
         self.rest = match opened {
             _ if draining => Rest::Active { until: now + CLEARING },
             true => {
--- a/crates/bgp/tests/session.rs
+++ b/crates/bgp/tests/session.rs
@@ -512,3 +512,23 @@
     down.run(5.0);
     assert_eq!(announced(&down), 0);
 }
+
+#[test]
+fn other_addresses_need_no_new_session_and_their_paths_are_asked_for_again() {
+    let mut host = Host::up(terms(), far_open(), both());
+    told(&mut host, "198.51.100.7/32", &[THEIRS, OURS], None);
+    told(&mut host, "198.51.100.8/32", &[THEIRS, OURS], None);
+    assert_eq!(host.peer.learned.len(), 1, "the second is no address of ours yet");
+    let services = vec![net("198.51.100.8/32"), net("2001:db8::7/128")];
+    assert!(host.peer.change(&PeerTerms { services, ..terms() }));
+    assert!(host.peer.learned.is_empty());
+    // It is asked for both families again.
+    let asked = host.peer.unsent(Side::Ours).to_vec();
+    let kinds: Vec<u8> = asked.chunks(23).map(|message| message[18]).collect();
+    assert_eq!(kinds, [message::ROUTE_REFRESH; 2]);
+    host.settle();
+    told(&mut host, "198.51.100.8/32", &[THEIRS, OURS], None);
+    assert_eq!((host.peer.learned.len(), host.peer.counts.lost), (1, 0));
+    // Anything else is another session.
+    assert!(!host.peer.change(&PeerTerms { hold: 30, ..terms() }));
+}
--- a/crates/router/src/transport/speaker.rs
+++ b/crates/router/src/transport/speaker.rs
@@ -246,9 +246,9 @@
         self.changed();
         for speaking in self.peers.iter_mut().filter(|speaking| !speaking.leaves) {
             let part = file.bgp.peers.iter().find(|part| part.name == speaking.part.name);
-            let terms = part.map(|part| part.terms(&file.bgp, &file.addresses));
-            let same = part == Some(&speaking.part) && terms.as_ref() == Some(speaking.peer.terms());
-            if !same {
+            // Other addresses are told on the session that is up; what else is new in it ends it.
+            let same = part.filter(|part| **part == speaking.part);
+            if !same.is_some_and(|part| speaking.peer.change(&part.terms(&file.bgp, &file.addresses))) {
                 let subcode = if part.is_some() { notification::CHANGED } else { notification::DECONFIGURED };
                 speaking.peer.finish(subcode, "new service file", now);
                 speaking.leaves = true;
--- a/crates/router/tests/speaker.rs
+++ b/crates/router/tests/speaker.rs
@@ -299,6 +299,26 @@
     assert!(object.starts_with('{') && object.contains("\"new_work_ends_in\":0.9"), "{object}");
 }
 
+/// A file with another address, or without one, ends no session: the other addresses' clients must not feel it.
+#[test]
+fn an_address_that_comes_or_goes_with_a_new_file_costs_no_session() {
+    let peering = Peering::start(open(false));
+    let text = service_file(&[&peering], "");
+    let world = World::new(&text);
+    peering.wait("announced for good", |peering| announced(peering) == 2);
+    let other: ipnet::IpNet = "198.51.100.9/32".parse().unwrap();
+    world.reload(&text.replace("[\"198.51.100.7/32\"]", "[\"198.51.100.7/32\",\"198.51.100.9/32\"]"));
+    peering.wait("both", |peering| peering.table().iter().any(|(net, _)| *net == other));
+    world.reload(&text);
+    peering.wait("one", |peering| !peering.table().iter().any(|(net, _)| *net == other));
+    assert!(has_route(&peering));
+    let counters = Client::new(&world.router).counters("bgp_lost", 0);
+    assert_eq!(counter(&counters, "bgp_established"), 1);
+    // The first address was told nothing in between.
+    let first = |saw: &&(Instant, Saw)| matches!(&saw.1, Saw::Announced(net, _) if *net == service());
+    assert_eq!(peering.noted().iter().filter(first).count(), 2);
+}
+
 #[test]
 fn a_lead_shows_graceful_shutdown_before_it_withdraws() {
     let peering = Peering::start(open(false));
