The end of new work in a drain is decided in the policy file alone

Cause: the 0.95 s after which a drain turns new jobs back stood in crates/announce and was handed in by the loop, and the formula of a job's expected time stood a second time in routing: tuned values and decisions of the router outside its policy file. Change: the module's `drain` tells until when new jobs are taken, glue and speaker are told it; `Category::expected_for` is the one place of the formula, used by the module and by the counter of jobs in time.

--- a/crates/announce/src/lib.rs
+++ b/crates/announce/src/lib.rs
@@ -32,8 +32,6 @@
 
 /// The window of the cap on changes.
 pub const MINUTE: f64 = 60.0;
-/// No new work is taken so long after a drain began: within the second that is promised, with room for a slow turn.
-pub const NEW_WORK: f64 = 0.95;
 
 /// How an address stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -261,13 +259,14 @@
         self.drain
     }
 
-    /// Begins the drain, once and for good. What is out shows that it goes, and goes after the lead.
-    pub fn drain(&mut self, now: f64) -> Drain {
+    /// Begins the drain, once and for good. What is out shows that it goes, and goes after the lead. New work ends in so
+    /// many seconds, as the decision module has it.
+    pub fn drain(&mut self, now: f64, new_work: f64) -> Drain {
         if let Some(drain) = self.drain {
             return drain;
         }
         let lead = self.terms.shutdown_lead.clamp(0.0, 0.8);
-        let drain = Drain { began: now, withdraws_at: now + lead, new_work_ends: now + NEW_WORK };
+        let drain = Drain { began: now, withdraws_at: now + lead, new_work_ends: now + new_work };
         self.drain = Some(drain);
         for at in 0..self.addresses.len() {
             self.addresses[at].moving = None;
--- a/crates/announce/src/tests.rs
+++ b/crates/announce/src/tests.rs
@@ -297,8 +297,8 @@
     for lead in [0.0, 0.4] {
         let mut world = World::announced(Terms { shutdown_lead: lead, ..terms() });
         world.paths = others(&[]);
-        let drain = world.announcer.drain(world.now);
-        assert_eq!((drain.withdraws_at, drain.new_work_ends), (world.now + lead, world.now + NEW_WORK));
+        let drain = world.announcer.drain(world.now, 0.9);
+        assert_eq!((drain.withdraws_at, drain.new_work_ends), (world.now + lead, world.now + 0.9));
         if lead > 0.0 {
             let wanted = world.announcer.wanted();
             assert_eq!(
@@ -321,11 +321,14 @@
         world.announcer.change(new, world.now);
         world.run(100.0);
         assert!(world.announcer.wanted().is_empty());
-        assert_eq!(world.announcer.drain(world.now), Drain { withdraws_at: drain.began + lead, ..drain });
+        assert_eq!(
+            world.announcer.drain(world.now, 0.9),
+            Drain { withdraws_at: drain.began + lead, ..drain }
+        );
     }
     // One that never was announced is not announced by its drain.
     let mut world = World::new(Terms { shutdown_lead: 0.4, ..terms() });
-    world.announcer.drain(0.0);
+    world.announcer.drain(0.0, 0.9);
     assert!(world.announcer.wanted().is_empty());
 }
 
--- a/crates/announce/tests/model.rs
+++ b/crates/announce/tests/model.rs
@@ -185,7 +185,7 @@
             Step::Tick { fresh } => next.tick(fresh),
             Step::Sicken(one) => next.instances[one].sick = true,
             Step::Heal(one) => next.instances[one].sick = false,
-            Step::Drain(one) => drop(next.instances[one].announcer.drain(next.now)),
+            Step::Drain(one) => drop(next.instances[one].announcer.drain(next.now, 0.9)),
         }
         Some(next)
     }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -173,7 +173,7 @@
                 // A thirtieth every six seconds: each has its turn within the three minutes.
                 let turn = TROUBLE.0 + 6.0 * (at * 30 / routers) as f64;
                 if one.down_until == 0.0 && now >= turn {
-                    one.announcer.drain(now);
+                    one.announcer.drain(now, 0.9);
                     one.changes.push(now);
                     let instance = terms(one.number, variant);
                     one.announcer = Announcer::new(instance, seed ^ one.number as u64, now + 3.0);
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -148,7 +148,8 @@
     next_job: usize,
     next_engine: u64,
     stops_at: f64,
-    takes_until: f64,
+    /// When its drain began.
+    drained_at: Option<f64>,
     listed: bool,
 }
 
@@ -382,7 +383,7 @@
             next_job: 0,
             next_engine: 0,
             stops_at: f64::INFINITY,
-            takes_until: f64::INFINITY,
+            drained_at: None,
             listed: false,
         }
     }
@@ -413,10 +414,10 @@
         self.desk.jobs.values_mut().for_each(|job| job.cut_off = job.cut_off.min(at));
     }
 
-    /// This instance drains: jobs that come from then on are turned back.
-    pub fn takes_until(&mut self, at: f64) {
-        self.takes_until = at;
-        self.gateway.takes_until(at);
+    /// This instance drains; tells until when it takes new jobs.
+    pub fn drain(&mut self, now: f64) -> f64 {
+        self.drained_at = Some(now);
+        self.gateway.drain(now)
     }
 
     /// Teams share the engines by this file from now on; jobs that wait move to their lines by their names.
@@ -590,8 +591,7 @@
         };
         let state = JobState::Open { session };
         let of = &self.desk.deployment.categories[category];
-        let expected = of.expected_time + of.stretch * request.work.unwrap_or(0.0) / of.threads;
-        let expected_at = since.unwrap_or(now) + expected;
+        let expected_at = since.unwrap_or(now) + of.expected_for(request.work.unwrap_or(0.0));
         let job = Job { request, state, cut_off, expected_at, lane: 1, grant_mb: 0.0, pushes: Vec::new() };
         self.desk.ids.insert(job.request.id.clone());
         self.desk.jobs.insert(id, job);
@@ -657,7 +657,9 @@
         self.seed = self.seed.wrapping_add(1);
         self.gateway = Gateway::new(self.desk.deployment.clone(), self.seed, self.desk.now);
         self.gateway.stop_at(self.stops_at);
-        self.gateway.takes_until(self.takes_until);
+        if let Some(began) = self.drained_at {
+            self.gateway.drain(began);
+        }
         if let Some((file, _)) = &self.teams {
             self.gateway.teams(self.desk.now, file.line(self.desk.now, &self.names.categories).0, &|_| 0);
         }
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -16,7 +16,7 @@
 use calloop::generic::Generic;
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, Readiness, RegistrationToken};
-use cleatgw_announce::{Readings, Recent, NEW_WORK};
+use cleatgw_announce::{Readings, Recent};
 use cleatgw_operator::{ServiceFile, TeamsFile};
 use cleatgw_start::LinkLimits;
 use links::Links;
@@ -411,9 +411,9 @@
             log::info!(jobs = open, signal:? = signal; "{signal:?}: stopping, {open} jobs open");
             self.routing.stop_at(last);
             // Nothing new within the second, whatever routing peers do; what is announced goes at once.
-            self.routing.takes_until(now + NEW_WORK);
+            let new_work = self.routing.drain(now) - now;
             if let Some(speaker) = &mut self.speaker {
-                speaker.drain(self.steady.read());
+                speaker.drain(self.steady.read(), new_work);
             }
             self.stopping = Some((now + STILL_COMING, last));
         }
--- a/crates/router/src/transport/speaker.rs
+++ b/crates/router/src/transport/speaker.rs
@@ -4,7 +4,7 @@
 use super::{guarded, Handle, Source};
 use crate::routing::Counters;
 use calloop::{Readiness, RegistrationToken};
-use cleatgw_announce::{Announcer, Drain, Level, Note, Paths, Readings, Why};
+use cleatgw_announce::{Announcer, Level, Note, Paths, Readings, Why};
 use cleatgw_bgp::{notification, Act, Path, Peer, Side, State, LONGEST};
 use cleatgw_operator::{PeerPart, ServiceFile};
 use ipnet::IpNet;
@@ -455,15 +455,14 @@
         again
     }
 
-    /// Begins the drain: withdrawals are decided now, and written in this turn.
-    pub fn drain(&mut self, now: f64) -> Drain {
-        let drain = self.announcer.drain(now);
+    /// Begins the drain: withdrawals are decided now, and written in this turn. New work ends in so many seconds.
+    pub fn drain(&mut self, now: f64, new_work: f64) {
+        let drain = self.announcer.drain(now, new_work);
         self.changed();
         log::info!(
             withdraws_in = drain.withdraws_at - now, new_work_ends_in = drain.new_work_ends - now;
             "drain begins"
         );
-        drain
     }
 
     /// No route of ours is left at any peer, as far as can be known.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,6 +47,13 @@
     pub only_kinds: Option<Vec<usize>>,
 }
 
+impl Category {
+    /// How soon a job of so much work (seconds of one core) is wanted, in seconds.
+    pub fn expected_for(&self, work: f64) -> f64 {
+        self.expected_time + self.stretch * work / self.threads
+    }
+}
+
 /// One kind of machine.
 #[derive(Clone, Debug)]
 pub struct Kind {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -26,6 +26,9 @@
 /// How much of it is drawn for by lot where it is too small for a job.
 const LOT: f64 = 0.3;
 
+/// How long new jobs are taken after a drain began: within the second that is promised, with room for a slow turn.
+const NEW_WORK: f64 = 0.95;
+
 #[derive(Clone, Copy, Default)]
 struct Mean {
     sum: f64,
@@ -485,7 +488,7 @@
         // What has less time left than others of its category came late, or its client has tried before.
         learned.longest_lead = learned.longest_lead.max(taken.cut_off - now);
         let age = learned.longest_lead - (taken.cut_off - now);
-        let expected_at = now - age + category.expected_time + category.stretch * work / category.threads;
+        let expected_at = now - age + category.expected_for(work);
         let density = category.credit / work.max(1e-3);
         self.density.add(density, work, 0.995);
         let job = Job { taken, work, memory, density, expected_at, since: now, ..Job::default() };
@@ -524,9 +527,10 @@
         self.line.hold(Waiting { job: id, team, category, density, work, since, never_ran }, now);
     }
 
-    /// Our instance drains: no job that is taken from then on is pushed.
-    pub fn takes_until(&mut self, at: f64) {
-        self.takes_until = at;
+    /// Our instance drains: no job that is taken from the time that is returned on is pushed.
+    pub fn drain(&mut self, now: f64) -> f64 {
+        self.takes_until = self.takes_until.min(now + NEW_WORK);
+        self.takes_until
     }
 
     /// Engines that are ready and not in doubt.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -846,7 +846,7 @@
     let mut world = World::new(plain(), 3);
     let out = world.job(0, |_| ());
     world.round();
-    world.gateway.takes_until(world.now + 1.0);
+    assert!(world.gateway.drain(world.now) < world.now + 1.0);
     world.pass(0.9);
     let just = world.job(0, |_| ());
     world.round();
