Laboratory: two figures that were measured wrongly, one way to read an answer

Answers were read twice over, quantiles by hand, a model's state told apart three times. Change: those mended; hdrhistogram for the waits, one reader of answers, one macro for a state told by its digest.

--- a/crates/announce/tests/model.rs
+++ b/crates/announce/tests/model.rs
@@ -6,7 +6,6 @@
 use ipnet::IpNet;
 use stateright::{Checker, Model, Property, UniformChooser};
 use std::fmt;
-use std::hash::{Hash, Hasher};
 
 const TICK: f64 = 0.5;
 /// Views are at most so many ticks old.
@@ -121,17 +120,7 @@
     }
 }
 
-impl Hash for At {
-    fn hash<H: Hasher>(&self, hasher: &mut H) {
-        self.digest().hash(hasher);
-    }
-}
-
-impl PartialEq for At {
-    fn eq(&self, other: &At) -> bool {
-        self.digest() == other.digest()
-    }
-}
+cleatgw_lab::told_by_digest!(At);
 
 impl fmt::Debug for At {
     fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
--- a/crates/bgp/tests/model.rs
+++ b/crates/bgp/tests/model.rs
@@ -8,7 +8,6 @@
 use host::*;
 use stateright::{Checker, Model, Property};
 use std::fmt;
-use std::hash::{Hash, Hasher};
 
 /// A fault that is put in to see that it is found.
 #[derive(Clone, Copy, PartialEq)]
@@ -58,17 +57,7 @@
     }
 }
 
-impl Hash for At {
-    fn hash<H: Hasher>(&self, hasher: &mut H) {
-        self.digest().hash(hasher);
-    }
-}
-
-impl PartialEq for At {
-    fn eq(&self, other: &At) -> bool {
-        self.digest() == other.digest()
-    }
-}
+cleatgw_lab::told_by_digest!(At);
 
 impl fmt::Debug for At {
     fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
--- a/crates/lab/src/drain.rs
+++ b/crates/lab/src/drain.rs
@@ -143,9 +143,8 @@
         let taken = gone.map_or(f64::INFINITY, |(at, _)| (*at - stop).as_secs_f64() * 1e3);
         sums.withdraw_ms.push(taken);
     }
-    // An announcement that the peer had not read by the stop was made before it: only the deaf one has those.
-    let announced = noted.iter().filter(|saw| after(saw) && matches!(saw.1, Saw::Announced(..))).count();
-    sums.announced_after += if state == "deaf" { 0 } else { announced };
+    sums.announced_after +=
+        noted.iter().filter(|saw| after(saw) && matches!(saw.1, Saw::Announced(..))).count();
     sums.new_after += engine.seen.all().iter().filter(|line| line.ends_with(": late")).count();
     sums.in_flight += asked.iter().map(|asked| asked.0).sum::<usize>() + held.len();
     sums.unanswered += asked.iter().map(|asked| asked.1).sum::<usize>() + held.len() - answered;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,3 +9,21 @@
 pub mod shared;
 pub mod standins;
 pub mod teams;
+
+/// A state of a model that is told from others by its `digest`, all that what follows depends on.
+#[macro_export]
+macro_rules! told_by_digest {
+    ($state:ty) => {
+        impl std::hash::Hash for $state {
+            fn hash<H: std::hash::Hasher>(&self, hasher: &mut H) {
+                self.digest().hash(hasher);
+            }
+        }
+
+        impl PartialEq for $state {
+            fn eq(&self, other: &$state) -> bool {
+                self.digest() == other.digest()
+            }
+        }
+    };
+}
--- a/crates/lab/src/line.rs
+++ b/crates/lab/src/line.rs
@@ -12,25 +12,27 @@
     let leaf =
         |at: usize| Terms { weight: 1.0 + (at % 7) as f64, budget: Some((0.5, 2.0)), ..Terms::default() };
     let mut line = Line::new([Terms::default()].into_iter().chain((0..teams).map(leaf)).collect(), 0.0);
-    let mut next = 0;
-    let mut come = |line: &mut Line, now: f64| {
-        let (team, work) = (1 + chance.random_range(0..teams), chance.random_range(0.01..1.0));
+    let mut jobs_of: Vec<(usize, f64)> = Vec::new();
+    let mut come = |line: &mut Line, jobs_of: &mut Vec<(usize, f64)>, now: f64| {
+        let (job, team, work) =
+            (jobs_of.len(), 1 + chance.random_range(0..teams), chance.random_range(0.01..1.0));
+        jobs_of.push((team, work));
         let density = 1.0 / work;
-        line.hold(Waiting { job: next, team, category: 0, density, work, since: now, never_ran: true }, now);
-        next += 1;
-        (next - 1, team, work)
+        line.hold(Waiting { job, team, category: 0, density, work, since: now, never_ran: true }, now);
+        job
     };
     for _ in 0..jobs {
-        come(&mut line, 0.0);
+        come(&mut line, &mut jobs_of, 0.0);
     }
     let rounds = 20_000;
     let began = Instant::now();
     for round in 0..rounds {
         let now = f64::from(round) * 1e-3;
-        let (job, team, work) = come(&mut line, now);
+        let job = come(&mut line, &mut jobs_of, now);
         let wait = line.wait_of(job, now);
         line.waits.told(job, wait, now);
         if let Some(job) = line.next(now) {
+            let (team, work) = jobs_of[job];
             line.went(job, now);
             line.over(team, work, work * 1.1, now);
         }
--- a/crates/lab/src/standins.rs
+++ b/crates/lab/src/standins.rs
@@ -272,24 +272,14 @@
     )
 }
 
-/// The same with the configuration's text changed.
-pub fn configured(
-    program: &str,
-    board: &Board,
-    sockets: u32,
-    more: &[&str],
-    change: impl Fn(String) -> String,
-) -> Router {
-    Router::changed(program, board, sockets, more, change)
-}
-
 impl Router {
     /// The program between stand-ins, with so many descriptors and more arguments behind `serve`.
     pub fn with(program: &str, board: &Board, sockets: u32, more: &[&str]) -> Router {
         Router::changed(program, board, sockets, more, |text| text)
     }
 
-    fn changed(
+    /// The same with the configuration's text changed.
+    pub fn changed(
         program: &str,
         board: &Board,
         sockets: u32,
@@ -459,24 +449,46 @@
     }
 
     /// Reads one whole answer, if one comes.
+    ///
+    /// # Panics
+    /// Where its packets are out of sequence.
     pub fn try_answer(&mut self) -> Option<Answered> {
-        let first = self.packet()?.1;
-        match first.first()? {
+        let (mut last, first) = self.packet()?;
+        let mut next = |client: &mut Client| {
+            let (sequence, body) = client.packet()?;
+            assert_eq!(sequence, last.wrapping_add(1));
+            last = sequence;
+            Some(body)
+        };
+        match first[0] {
             0 => return Some(Answered::Ok),
-            0xff => return Some(Answered::Error(u16::from_le_bytes([first[1], first[2]]), String::new())),
+            0xff => {
+                let words = String::from_utf8_lossy(&first[9..]).into_owned();
+                return Some(Answered::Error(u16::from_le_bytes([first[1], first[2]]), words));
+            }
             columns => {
-                for _ in 0..=*columns {
-                    self.packet()?;
+                for _ in 0..=columns {
+                    next(self)?;
                 }
             }
         }
         let mut rows = Vec::new();
         loop {
-            let body = self.packet()?.1;
-            if body.first() == Some(&0xfe) && body.len() < 9 {
+            let body = next(self)?;
+            if body[0] == 0xfe && body.len() < 9 {
                 return Some(Answered::Rows(rows));
             }
-            rows.push(String::new());
+            let (mut row, mut rest) = (VecDeque::new(), &body[..]);
+            while let Some((&length, more)) = rest.split_first() {
+                let (length, more) = match length {
+                    0xfc => (usize::from(more[0]) | usize::from(more[1]) << 8, &more[2..]),
+                    short => (short.into(), more),
+                };
+                let (value, more) = more.split_at(length);
+                row.push_back(String::from_utf8_lossy(value).into_owned());
+                rest = more;
+            }
+            rows.push(row.make_contiguous().join(","));
         }
     }
 
@@ -496,39 +508,7 @@
 
     /// Reads one whole answer.
     pub fn answer(&mut self) -> Answered {
-        let (mut last, first) = self.packet().expect("an answer");
-        let mut next = |client: &mut Client| {
-            let (sequence, body) = client.packet().expect("more of an answer");
-            assert_eq!(sequence, last.wrapping_add(1));
-            last = sequence;
-            body
-        };
-        match first[0] {
-            0 => return Answered::Ok,
-            0xff => {
-                let words = String::from_utf8_lossy(&first[9..]).into_owned();
-                return Answered::Error(u16::from_le_bytes([first[1], first[2]]), words);
-            }
-            columns => (0..=columns).for_each(|_| drop(next(self))),
-        }
-        let mut rows = Vec::new();
-        loop {
-            let body = next(self);
-            if body[0] == 0xfe && body.len() < 9 {
-                return Answered::Rows(rows);
-            }
-            let (mut row, mut rest) = (VecDeque::new(), &body[..]);
-            while let Some((&length, more)) = rest.split_first() {
-                let (length, more) = match length {
-                    0xfc => (usize::from(more[0]) | usize::from(more[1]) << 8, &more[2..]),
-                    short => (short.into(), more),
-                };
-                let (value, more) = more.split_at(length);
-                row.push_back(String::from_utf8_lossy(value).into_owned());
-                rest = more;
-            }
-            rows.push(row.make_contiguous().join(","));
-        }
+        self.try_answer().expect("a whole answer")
     }
 
     pub fn send(&mut self, text: &str) {
--- a/crates/lab/src/teams.rs
+++ b/crates/lab/src/teams.rs
@@ -1,7 +1,8 @@
 //! Teams that share engines through one real router: what each waits, against what it would wait with its share alone.
 
 use crate::shared::Shared;
-use crate::standins::{configured, counter, Answered, Board, Client};
+use crate::standins::{counter, Answered, Board, Client, Router};
+use hdrhistogram::Histogram;
 use plotters::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -170,7 +171,7 @@
         more = vec!["--teams".to_string(), path.to_string_lossy().into_owned()];
     }
     let more: Vec<&str> = more.iter().map(String::as_str).collect();
-    let router = configured(&program.to_string_lossy(), &board, 1024, &more, change);
+    let router = Router::changed(&program.to_string_lossy(), &board, 1024, &more, change);
     let began = Instant::now();
     let sent: Mutex<Vec<Vec<(String, Instant, Ended)>>> = Mutex::new(vec![Vec::new(); teams.len()]);
     std::thread::scope(|scope| {
@@ -210,11 +211,13 @@
     played
 }
 
+/// In milliseconds, of waits in seconds.
 fn quantile(waits: &[f64], part: f64) -> f64 {
-    let mut sorted = waits.to_vec();
-    sorted.sort_by(f64::total_cmp);
-    let at = ((sorted.len() as f64 * part) as usize).min(sorted.len().saturating_sub(1));
-    sorted.get(at).copied().unwrap_or(0.0) * 1e3
+    let mut histogram = Histogram::<u64>::new(3).expect("three digits");
+    for wait in waits {
+        histogram.record((wait * 1e6) as u64).expect("it grows as needed");
+    }
+    histogram.value_at_quantile(part) as f64 / 1e3
 }
 
 /// The first second and a half does not count: the router learns what engines take.
--- a/crates/queue/tests/model.rs
+++ b/crates/queue/tests/model.rs
@@ -4,7 +4,6 @@
 use stateright::{Checker, Model, Property};
 use std::collections::BTreeSet;
 use std::fmt;
-use std::hash::{Hash, Hasher};
 
 /// What is put in to see that it is found.
 #[derive(Clone, Copy, PartialEq)]
@@ -56,17 +55,7 @@
     }
 }
 
-impl Hash for At {
-    fn hash<H: Hasher>(&self, hasher: &mut H) {
-        self.digest().hash(hasher);
-    }
-}
-
-impl PartialEq for At {
-    fn eq(&self, other: &At) -> bool {
-        self.digest() == other.digest()
-    }
-}
+cleatgw_lab::told_by_digest!(At);
 
 impl fmt::Debug for At {
     fn fmt(&self, to: &mut fmt::Formatter) -> fmt::Result {
--- a/crates/router/tests/teams.rs
+++ b/crates/router/tests/teams.rs
@@ -29,7 +29,7 @@
         text.replace(r#"[{"name":"town"}]"#, names).replace("\"cores-by-kind\":[8]", "\"cores-by-kind\":[2]")
     };
     let arguments = ["--teams", file.to_str().unwrap()];
-    let router = configured(PROGRAM, &board, 512, &arguments, change);
+    let router = Router::changed(PROGRAM, &board, 512, &arguments, change);
     World { engine, _board: board, router, file }
 }
 
