Teams: stories of vanished clients, overcommitted budgets and a budget that a new file halves

Need: three hard cases of the teams issue had no test of their own. Change: two stories of the line in virtual time, one of the module.

--- a/crates/queue/src/tests.rs
+++ b/crates/queue/src/tests.rs
@@ -180,6 +180,44 @@
     assert!((6.0..=8.0).contains(&world.had[1]), "{:?}", world.had);
 }
 
+/// Hard case: budgets that add to more than there is. Nobody is over, so the weights decide and none starves.
+#[test]
+fn budgets_that_add_to_more_than_there_is_leave_the_shares_as_they_are() {
+    let mut tree = teams(&[3.0, 1.0]);
+    (tree[1].budget, tree[2].budget) = (Some((2.0, 5.0)), Some((2.0, 5.0)));
+    let mut world = World::new(tree);
+    world.fill(1, 4000, 0.02);
+    world.fill(2, 400, 0.2);
+    world.run(40.0);
+    assert!((world.had[1] - 30.0).abs() < 0.5 && (world.had[2] - 10.0).abs() < 0.5, "{:?}", world.had);
+}
+
+/// Hard case: a new file halves a budget while its team is at the limit.
+#[test]
+fn a_budget_that_is_halved_by_a_new_file_holds_from_then_on() {
+    let tree = |rate| {
+        let mut tree = teams(&[1.0, 1.0]);
+        tree[1].budget = Some((rate, 0.1));
+        tree
+    };
+    let mut world = World::new(tree(0.4));
+    world.fill(1, 2000, 0.05);
+    world.fill(2, 4000, 0.05);
+    world.run(40.0);
+    let before = world.had[1];
+    // What waits goes over to the new lines, as the module has it.
+    let mut new = Line::new(tree(0.2), world.now);
+    for (job, (team, work, since)) in &world.jobs {
+        let (job, team, work, since) = (*job, *team, *work, *since);
+        let density = 1.0 / work;
+        new.hold(Waiting { job, team, category: 0, density, work, since, never_ran: true }, world.now);
+    }
+    world.line = new;
+    world.run(80.0);
+    let after = world.had[1] - before;
+    assert!((before - 16.0).abs() < 0.8 && (after - 8.0).abs() < 0.8, "{before} {after}");
+}
+
 #[test]
 fn a_team_that_is_over_its_budget_for_long_is_remembered_once() {
     let mut tree = teams(&[1.0, 1.0]);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -941,6 +941,25 @@
     assert!(world.answers(ran).is_empty());
 }
 
+/// Hard case: clients vanish while their jobs are in line.
+#[test]
+fn jobs_whose_clients_vanish_leave_the_line_and_hold_nobody_up() {
+    let mut world = World::new(plain(), 1);
+    teams(&mut world, [1.0, 1.0], 40);
+    let gone: Vec<usize> =
+        (0..40).map(|_| world.job(0, |job| (job.team, job.cost) = (1, Some(0.1)))).collect();
+    world.round();
+    let waited = world.gateway.line().of(1).0;
+    gone.iter().for_each(|job| world.gateway.job_withdrawn(*job));
+    assert!(waited > 0 && world.gateway.line().is_empty(), "{waited}");
+    // Its line has room again: none of those that come now is displaced.
+    for _ in 0..40 {
+        world.job(0, |job| (job.team, job.cost) = (1, Some(0.1)));
+    }
+    world.round();
+    assert!(world.book.advice.is_empty(), "{:?}", world.book.advice);
+}
+
 #[test]
 fn new_lines_take_over_what_waits_and_what_is_out() {
     let mut world = World::new(plain(), 1);
