Many gateways keep to engines that have answered them; peers' words weigh in the posterior

So each router greets each engine once, and greets about all of them: its few jobs of a group are dealt over the three first fitting by felt load and chance. Lines at fault: place(), the key of the choice among the first fitting. Change: among those with as few of our threads, one that has answered us goes first, where all gateways' jobs of the kind, one each, would pass the engine's cores.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,7 +11,8 @@
 //! 3. time-outs and further pushes: `time_out`, `overdue`, and a budget of them (`repeat_budget`);
 //! 4. holding and turning back: threads per core are limited ([`Room`]), the best credit for work goes first,
 //!    teams in their turns ([`Line`], which keeps the order alone);
-//! 5. priority lanes by credit for work (`lane`).
+//! 5. priority lanes by credit for work (`lane`);
+//! 6. peers' words on engines, beside what we met ourselves (`peers_say`).
 
 use crate::*;
 use cleatgw_queue::{Line, Waiting};
@@ -26,7 +27,7 @@
 /// How much of it is drawn for by lot where it is too small for a job.
 const LOT: f64 = 0.3;
 
-/// How long new jobs are taken after a drain began: within the second that is promised, with room for a slow turn.
+/// How long new jobs are taken after a drain began: within the second that is promised, less a slow turn.
 const NEW_WORK: f64 = 0.95;
 
 #[derive(Clone, Copy, Default)]
@@ -234,6 +235,8 @@
 #[derive(Default)]
 struct Doubt {
     good: Mean,
+    /// What peers say that they met, each of them for one push at most.
+    told: Mean,
     own: Vec<Mean>,
     doubted: bool,
     /// The present draw: made anew each tick, spent by a trial.
@@ -244,6 +247,8 @@
     /// Half of it is gone after four seconds.
     const KEEP: f64 = 0.9576;
     const TRUST: f64 = 0.75;
+    /// A peer's word against our own push: one that lies, or is ill itself, puts no engine in doubt alone.
+    const WORD: f64 = 0.5;
 
     /// What is bad for its category need not be so for the engine.
     fn add(&mut self, category: usize, good: f64, bad: f64, bad_for_own: f64) {
@@ -253,7 +258,7 @@
     }
 
     fn mean(&self) -> f64 {
-        self.good.with(2.0, 2.1)
+        self.good.with(2.0 + self.told.sum, 2.1 + self.told.weight)
     }
 
     /// As for all until a category fares a fifth worse; that of all counts for three of its own.
@@ -265,7 +270,7 @@
     /// A draw from the posterior, by its mean and spread.
     fn draw(&mut self, chance: f64) {
         let mean = self.mean();
-        let spread = (mean * (1.0 - mean) / (3.1 + self.good.weight)).sqrt();
+        let spread = (mean * (1.0 - mean) / (3.1 + self.good.weight + self.told.weight)).sqrt();
         self.drawn = mean + (chance - 0.5) * 3.46 * spread;
     }
 }
@@ -366,7 +371,7 @@
 #[derive(Default)]
 pub struct Gateway {
     given: Deployment,
-    /// What is no work is allowed for by this, as deployments differ in their pace: the shortest expected time.
+    /// What is no work is allowed for by this, as deployments differ in pace: the shortest expected time.
     quick: f64,
     seed: u64,
     draws: u64,
@@ -527,6 +532,12 @@
         self.line.hold(Waiting { job: id, team, category, density, work, since, never_ran }, now);
     }
 
+    /// All that peers have met of an engine of late, good and bad, each of them once.
+    pub fn peers_say(&mut self, at: usize, good: f64, bad: f64) {
+        let Some(engine) = self.engines.get_mut(at) else { return };
+        engine.doubt.told = Mean { sum: Doubt::WORD * good, weight: Doubt::WORD * (good + bad) };
+    }
+
     /// Our instance drains: no job that is taken from the time that is returned on is pushed.
     pub fn drain(&mut self, now: f64) -> f64 {
         self.takes_until = self.takes_until.min(now + NEW_WORK);
@@ -736,13 +747,12 @@
                 self.log.push(format!("engine {id} {word}: started {:.1}", engine.at.since.unwrap_or(0.0)));
             }
         }
-        let window = self.repeat_budget().window.max(1.0);
         // Tables that clients' groups and keys fill are kept small.
         let few = self.orders.len() <= 1000;
         self.orders.retain(|_, _| few);
         self.keys.retain(|_, line| !line.jobs.is_empty() || now < line.rests_until);
-        self.taken_at.retain(|&at| at >= now - window);
-        self.repeats.retain(|&at| at >= now - window);
+        let from = now - self.repeat_budget().window.max(1.0);
+        [&mut self.taken_at, &mut self.repeats].into_iter().for_each(|all| all.retain(|&at| at >= from));
         if self.turning_back.take_if(|last| now > *last + 5.0).is_some() {
             self.log.push(format!("turning none back: {} held", self.line.len()));
         }
@@ -814,10 +824,10 @@
         let (grant, least, quarter) = self.grant(id);
         let group = self.jobs[&id].taken.table_group;
         let mut open: Vec<usize> = self.home_order(group).to_vec();
+        let category = &self.given.categories[self.jobs[&id].taken.category];
         // So many of the first fitting are weighed: in a larger fleet a hot group is more for one engine.
-        let few = (open.len() / 3).clamp(2, 3);
+        let (few, all_ours) = ((open.len() / 3).clamp(2, 3), self.given.gateways * category.threads);
         // A job that holds its tables keeps to the order's far half while it has time, clear of its readers.
-        let category = &self.given.categories[self.jobs[&id].taken.category];
         if category.holds_tables {
             open.reverse();
             let far = self.last_start(&self.jobs[&id]) - now > self.run_time(&self.jobs[&id]);
@@ -838,9 +848,11 @@
         let been = |at: &usize| self.jobs[&id].pushes.iter().any(|push| push.engine == *at);
         self.draws += 1;
         let key = |at: &&usize| {
-            let Room { peers, .. } = &engine(at).room;
-            let threads = [engine(at).threads / engine(at).cores, peers.with(self.belief, 1.0)];
-            (been(at), threads.map(rank), mix((self.seed, self.draws, at)))
+            let peers = engine(at).room.peers.with(self.belief, 1.0);
+            let [ours, felt] = [engine(at).threads / engine(at).cores, peers].map(rank);
+            // Rather one that has answered us: many gateways, each with little traffic, would greet them all.
+            let greets = all_ours > engine(at).cores && engine(at).best_pace.is_none();
+            (been(at), ours, greets, felt, mix((self.seed, self.draws, at)))
         };
         let fitting = open.iter().filter(|at| engine(at).ledger.fits(grant, now)).take(few);
         let choice = fitting.min_by_key(key);
@@ -991,7 +1003,7 @@
         job.pushes.len() as u32 >= self.given.most_pushes || !ran.all(may_repeat)
     }
 
-    /// When to come back, no later than clients follow: with teams, once the line would take the job by its estimate.
+    /// When to come back, no later than clients follow: with teams, once the line would take the job.
     /// Spread by chance, so that those that are turned back together do not return as one.
     fn advice(&mut self, now: f64, id: usize) -> Option<f64> {
         let (most, job) = (self.given.advice?, &self.jobs[&id]);
@@ -1104,9 +1116,8 @@
     fn overdue(&mut self, now: f64, id: usize, index: usize, out: &mut dyn Writer) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let (over, number, push) = (job.over, index as u32, &mut job.pushes[index]);
-        let engine = self.engines.get_mut(push.engine);
-        let silent = engine.filter(|engine| push.out && engine.last_answer < push.sent);
-        let Some(engine) = silent else { return };
+        let engine = self.engines.get_mut(push.engine).filter(|one| push.out && one.last_answer < push.sent);
+        let Some(engine) = engine else { return };
         engine.doubt.add(job.taken.category, 0.0, 1.0, 1.0);
         self.due.insert((rank(now + 2.0), Due::Overdue(id, index)));
         if self.given.call_off && !over && !push.called_off && engine.doubt.mean() < 0.5 {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -1010,3 +1010,42 @@
     let honest = advice(true);
     assert!(honest.iter().any(|told| told.is_some_and(|wait| (6.0..30.0).contains(&wait))), "{honest:?}");
 }
+
+#[test]
+fn a_gateway_among_many_with_little_traffic_does_not_greet_every_engine_of_a_group() {
+    let mut world = World::new(Deployment { gateways: 300.0, ..plain() }, 12);
+    for group in 0..8 {
+        let mut used: Vec<usize> = (0..6)
+            .flat_map(|_| {
+                let job = world.job(0, |taken| taken.table_group = group);
+                world.pass(0.1);
+                world.over(job, Ending::Delivered, 0.1);
+                world.engines_of(job)
+            })
+            .collect();
+        used.dedup();
+        assert_eq!(used.len(), 1, "group {group}");
+    }
+}
+
+#[test]
+fn one_peer_s_word_puts_no_engine_in_doubt_and_that_of_two_does_until_it_is_old() {
+    let mut world = World::new(plain(), 3);
+    world.gateway.peers_say(0, 0.0, 1.0);
+    world.pass(0.5);
+    assert!(!world.logged("engine 0 doubted"));
+    world.gateway.peers_say(0, 0.0, 2.0);
+    world.pass(0.5);
+    assert!(world.logged("engine 0 doubted"));
+    // What we meet ourselves outweighs it.
+    for group in 0..30 {
+        let job = world.job(0, |taken| taken.table_group = group);
+        world.round();
+        world.over(job, Ending::Delivered, 0.1);
+    }
+    world.gateway.peers_say(0, 0.0, 0.0);
+    world.pass(0.5);
+    assert!(world.logged("engine 0 trusted"));
+    world.gateway.peers_say(99, 0.0, 9.0);
+    world.pass(0.5);
+}
