--- /dev/null
+++ b/crates/lab/src/judge.rs
@@ -0,0 +1,273 @@
+//! Judges a record of what each router said of the others against what was done to them. It shares no code with the
+//! router: it knows what was killed, frozen and cut, and reads what was said.
+
+use hdrhistogram::Histogram;
+use serde_json::{json, Value};
+use std::collections::HashMap;
+
+/// One router's word on another, at a time: `present`, `seen by others`, `suspected`, `failed`, `left`, `unseen`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Said {
+    pub at: f64,
+    pub by: usize,
+    pub of: usize,
+    pub state: String,
+}
+
+/// What was true from a time on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Truth {
+    pub at: f64,
+    /// Runs, is not frozen, and does not leave.
+    pub up: Vec<bool>,
+    /// By sender, then receiver.
+    pub cut: Vec<Vec<bool>>,
+    /// In which life each is: counts its starts.
+    pub life: Vec<u32>,
+    /// Links that are not cut lose, delay or damage more than a sound network does.
+    pub rough: bool,
+}
+
+#[derive(Default)]
+pub struct Record {
+    /// By sayer and object: when, and what.
+    said: HashMap<(usize, usize), Vec<(f64, String)>>,
+    /// In the order of their times; the first holds from the beginning on.
+    pub truths: Vec<Truth>,
+    pub faults: usize,
+    pub end: f64,
+}
+
+/// A false failure lasts longer than this to count, in seconds.
+const FALSE_FOR: f64 = 1.0;
+/// So long after a change of truth nothing is called false that was true before it, or came of it.
+const GRACE: f64 = 1.0;
+
+fn counts(state: &str) -> bool {
+    matches!(state, "present" | "seen by others" | "suspected")
+}
+
+impl Truth {
+    /// Routers that run and hear each other both ways, directly.
+    fn linked(&self, one: usize, other: usize) -> bool {
+        self.up[one] && self.up[other] && !self.cut[one][other] && !self.cut[other][one]
+    }
+
+    /// Those that this one reaches, itself among them, by way of others too.
+    fn reaches(&self, from: usize) -> Vec<bool> {
+        let mut seen = vec![false; self.up.len()];
+        let mut queue = vec![from];
+        seen[from] = self.up[from];
+        while let Some(at) = queue.pop() {
+            for (next, seen) in seen.iter_mut().enumerate() {
+                if !*seen && self.linked(at, next) {
+                    *seen = true;
+                    queue.push(next);
+                }
+            }
+        }
+        seen
+    }
+
+    /// It runs, and a majority of all hears it and is heard by it directly.
+    fn sound(&self, router: usize) -> bool {
+        let linked =
+            (0..self.up.len()).filter(|other| *other != router && self.linked(router, *other)).count();
+        self.up[router] && (linked + 1) * 2 > self.up.len()
+    }
+}
+
+impl Record {
+    pub fn new(first: Truth) -> Record {
+        Record { truths: vec![first], ..Record::default() }
+    }
+
+    pub fn say(&mut self, said: Said) {
+        self.said.entry((said.by, said.of)).or_default().push((said.at, said.state));
+    }
+
+    pub fn words(&self, by: usize, of: usize) -> &[(f64, String)] {
+        self.said.get(&(by, of)).map_or(&[], Vec::as_slice)
+    }
+
+    /// What `by` holds `of` at a time.
+    fn state(&self, by: usize, of: usize, at: f64) -> &str {
+        let words = self.words(by, of);
+        let after = words.partition_point(|(said, _)| *said <= at);
+        after.checked_sub(1).map_or("unseen", |last| words[last].1.as_str())
+    }
+
+    fn truth(&self, at: f64) -> &Truth {
+        self.truths.iter().rev().find(|truth| truth.at <= at).unwrap_or(&self.truths[0])
+    }
+
+    /// Times from a router's end to each other running router's holding it failed, in milliseconds, and how many never did.
+    pub fn detections(&self) -> (Histogram<u64>, u64) {
+        let mut times = Histogram::new(3).expect("a histogram");
+        let mut missed = 0;
+        for pair in self.truths.windows(2) {
+            let (before, after) = (&pair[0], &pair[1]);
+            for of in 0..after.up.len() {
+                if !before.up[of] || after.up[of] {
+                    continue;
+                }
+                let back = self.truths.iter().find(|truth| truth.at > after.at && truth.up[of]);
+                let until = back.map_or(self.end, |truth| truth.at);
+                for by in 0..after.up.len() {
+                    let through = |truth: &&Truth| truth.at >= after.at && truth.at < until;
+                    let ran = self.truths.iter().filter(through).all(|truth| truth.up[by]);
+                    // Only where there was time to find out, and nothing else was in the way.
+                    if by == of || !ran || until - after.at < 4.0 || !before.sound(by) {
+                        continue;
+                    }
+                    let in_time =
+                        |(at, state): &&(f64, String)| !counts(state) && *at >= after.at && *at < until;
+                    match self.words(by, of).iter().find(in_time) {
+                        Some((at, _)) => times.record(((at - after.at) * 1e3) as u64).unwrap_or(()),
+                        None if counts(self.state(by, of, until)) => missed += 1,
+                        None => {}
+                    }
+                }
+            }
+        }
+        (times, missed)
+    }
+
+    /// How often a router that ran, and that a majority could reach, was held failed for long by one that it reached:
+    /// since when, by whom, and who.
+    pub fn false_failures(&self) -> Vec<(f64, usize, usize)> {
+        let mut found = Vec::new();
+        for (at, truth) in self.truths.iter().enumerate() {
+            let until = self.truths.get(at + 1).map_or(self.end, |next| next.at);
+            // What is said right after a change may come of what was true before it.
+            let from = truth.at + GRACE;
+            let sound: Vec<bool> = (0..truth.up.len()).map(|router| truth.sound(router)).collect();
+            for (by, of) in (0..sound.len()).flat_map(|by| (0..sound.len()).map(move |of| (by, of))) {
+                if by == of || !sound[by] || !sound[of] || !truth.linked(by, of) {
+                    continue;
+                }
+                let words = self.words(by, of);
+                for (place, (since, state)) in words.iter().enumerate() {
+                    let ends = words.get(place + 1).map_or(self.end, |(next, _)| *next);
+                    if state == "failed" && ends.min(until) - since.max(from) > FALSE_FOR {
+                        found.push((*since, by, of));
+                    }
+                }
+            }
+        }
+        found
+    }
+
+    /// After each change of truth that is followed by quiet: how long until all that reach each other hold the same
+    /// routers present, in milliseconds, at the most; none where some never did.
+    pub fn agreed_after(&self) -> Option<u64> {
+        let mut most = 0.0_f64;
+        for (at, truth) in self.truths.iter().enumerate() {
+            let until = self.truths.get(at + 1).map_or(self.end, |next| next.at);
+            let healed = !truth.rough && truth.cut.iter().flatten().all(|cut| !cut);
+            if !healed || until - truth.at < 4.0 {
+                continue;
+            }
+            let mut agreed_at = None;
+            let mut look = truth.at;
+            while look < until {
+                let views: Vec<Vec<bool>> = (0..truth.up.len())
+                    .filter(|by| truth.up[*by])
+                    .map(|by| {
+                        (0..truth.up.len()).map(|of| of == by || counts(self.state(by, of, look))).collect()
+                    })
+                    .collect();
+                let same = views.iter().all(|view| *view == truth.up);
+                match (same, agreed_at) {
+                    (true, None) => agreed_at = Some(look),
+                    (false, Some(_)) => agreed_at = None,
+                    _ => {}
+                }
+                look += 0.05;
+            }
+            most = most.max(agreed_at? - truth.at);
+        }
+        Some((most * 1e3) as u64)
+    }
+
+    /// Every router can be reached by every other in the end.
+    pub fn whole_in_the_end(&self) -> bool {
+        let truth = self.truth(self.end);
+        (0..truth.up.len()).filter(|at| truth.up[*at]).all(|at| truth.reaches(at) == truth.up)
+    }
+
+    pub fn report(&self) -> Value {
+        let (times, missed) = self.detections();
+        json!({
+            "routers": self.truths[0].up.len(),
+            "faults": self.faults,
+            "detections": times.len(),
+            "missed": missed,
+            "detected_ms_p50": times.value_at_quantile(0.5),
+            "detected_ms_p99": times.value_at_quantile(0.99),
+            "false_failures": self.false_failures().len(),
+            "agreed_after_heal_ms_max": self.agreed_after(),
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn truth(at: f64, up: [bool; 3]) -> Truth {
+        Truth { at, up: up.to_vec(), cut: vec![vec![false; 3]; 3], life: vec![0; 3], rough: false }
+    }
+
+    fn said(at: f64, by: usize, of: usize, state: &str) -> Said {
+        Said { at, by, of, state: state.to_string() }
+    }
+
+    fn all_present() -> Vec<Said> {
+        let pairs = (0..3).flat_map(|by| (0..3).filter(move |of| *of != by).map(move |of| (by, of)));
+        pairs.map(|(by, of)| said(1.0, by, of, "present")).collect()
+    }
+
+    fn record(said: Vec<Said>, truths: Vec<Truth>) -> Record {
+        let mut record = Record { truths, faults: 1, end: 20.0, ..Record::default() };
+        said.into_iter().for_each(|said| record.say(said));
+        record
+    }
+
+    #[test]
+    fn a_failure_that_is_found_late_or_never_is_told() {
+        let mut said_by = all_present();
+        said_by.push(said(11.5, 0, 2, "failed"));
+        let truths = vec![truth(0.0, [true; 3]), truth(10.0, [true, true, false])];
+        let record = record(said_by, truths);
+        let (times, missed) = record.detections();
+        assert_eq!((times.len(), missed), (1, 1), "router 1 never found it");
+        assert!(times.max() >= 1490 && times.max() <= 1510);
+        assert_eq!(record.agreed_after(), None);
+    }
+
+    #[test]
+    fn a_sound_router_that_is_held_failed_is_false_after_a_second() {
+        let mut said_by = all_present();
+        said_by.extend([said(10.0, 0, 2, "failed"), said(10.5, 0, 2, "present")]);
+        said_by.extend([said(12.0, 1, 2, "failed"), said(14.0, 1, 2, "present")]);
+        let record = record(said_by, vec![truth(0.0, [true; 3])]);
+        let found = record.false_failures();
+        assert_eq!(found.len(), 1);
+        assert_eq!((found[0].1, found[0].2), (1, 2));
+    }
+
+    #[test]
+    fn views_agree_once_all_hold_present_just_those_that_run() {
+        let mut said_by = all_present();
+        said_by.extend([
+            said(11.0, 0, 2, "failed"),
+            said(11.7, 1, 2, "suspected"),
+            said(12.2, 1, 2, "failed"),
+        ]);
+        let truths = vec![truth(0.0, [true; 3]), truth(10.0, [true, true, false])];
+        let record = record(said_by, truths);
+        let agreed = record.agreed_after().unwrap();
+        assert!((2150..=2300).contains(&agreed), "{agreed}");
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,14 +1,20 @@
 //! Stand-ins for what the router talks to, shared by tests and tools. Everything stays on loopback or in virtual time.
 
+pub mod cluster;
 pub mod drain;
 pub mod far;
 pub mod flap;
 pub mod fleet;
+pub mod judge;
 pub mod line;
+pub mod members;
 pub mod peering;
+pub mod relays;
 pub mod shared;
 pub mod standins;
 pub mod teams;
+pub mod virtual_members;
+pub mod weather;
 
 /// A state of a model that is told from others by its `digest`, all that what follows depends on.
 #[macro_export]
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,7 +1,7 @@
 //! `cleatgw-lab`: measurements that the kit's benches can't show. The last line of each is one JSON object.
 
 use bpaf::{construct, long, OptionParser, Parser};
-use cleatgw_lab::{drain, flap, fleet, line, teams};
+use cleatgw_lab::{drain, flap, fleet, line, members, teams};
 use std::path::PathBuf;
 
 enum Command {
@@ -26,6 +26,20 @@
         teams: usize,
         seed: u64,
     },
+    Members {
+        in_virtual_time: bool,
+        routers: usize,
+        seed: u64,
+        seconds: f64,
+        plot: Option<PathBuf>,
+        program: PathBuf,
+    },
+    Words {
+        routers: usize,
+        seed: u64,
+        rate: f64,
+        program: PathBuf,
+    },
     Teams {
         scenario: String,
         seed: u64,
@@ -94,7 +108,26 @@
         construct!(Command::Line { jobs, teams, seed })
     };
     let line = line.to_options().descr("What the line costs as jobs and teams grow").command("line");
-    construct!([drain, flap, fleet, teams, line])
+    let members = {
+        let in_virtual_time = long("virtual").help("No processes: the same code in virtual time").switch();
+        let routers = long("routers").help("How many").argument::<usize>("N").fallback(9);
+        let seconds = long("seconds").help("How long faults go on").argument::<f64>("S").fallback(110.0);
+        let plot =
+            long("plot").help("Virtual time: detection under loss, an SVG").argument::<PathBuf>("FILE");
+        let plot = plot.optional();
+        let (seed, program) = (seed(), program());
+        construct!(Command::Members { in_virtual_time, routers, seed, seconds, plot, program })
+    };
+    let members = members.to_options().descr("Routers that know each other, under faults").command("members");
+    let words = {
+        let routers = long("routers").help("How many").argument::<usize>("N").fallback(9);
+        let rate = long("rate").help("Jobs a second and router").argument::<f64>("R").fallback(6.0);
+        let (seed, program) = (seed(), program());
+        construct!(Command::Words { routers, seed, rate, program })
+    };
+    let words = words.to_options().descr("What it is worth that routers tell each other of engines");
+    let words = words.command("words");
+    construct!([drain, flap, fleet, members, words, teams, line])
         .to_options()
         .descr("The laboratory: loopback and virtual time only")
 }
@@ -108,6 +141,15 @@
         Command::Line { jobs, teams, seed } => {
             line::measure(jobs.clamp(1, 1_000_000), teams.clamp(1, 100_000), seed)
         }
+        Command::Members { in_virtual_time: true, routers, seed, seconds, plot, .. } => {
+            members::measure_virtual(routers.clamp(2, 1000), seed, seconds.clamp(0.0, 600.0), plot.as_deref())
+        }
+        Command::Members { routers, seed, seconds, program, .. } => {
+            members::measure(&program, routers.clamp(2, 20), seed, seconds.clamp(0.0, 600.0))
+        }
+        Command::Words { routers, seed, rate, program } => {
+            members::words(&program, routers.clamp(2, 20), seed, rate.clamp(0.1, 200.0))
+        }
         Command::Teams { scenario, seed, seconds, ageing, plot, program } => {
             teams::measure(&program, &scenario, seed, seconds.clamp(2.0, 600.0), ageing, plot.as_deref())
         }
--- /dev/null
+++ b/crates/lab/src/members.rs
@@ -0,0 +1,166 @@
+//! How well routers know each other under faults: real processes through relays, or the same code in virtual time.
+
+use crate::cluster::{Cluster, Load};
+use crate::standins::{counter, Client};
+use crate::virtual_members::World;
+use crate::weather::{mixed, Act};
+use cleatgw_members::swim::{Defences, Pace};
+use plotters::prelude::*;
+use serde_json::{json, Value};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// Real processes under a mixed schedule and load.
+pub fn measure(program: &Path, routers: usize, seed: u64, seconds: f64) -> Value {
+    let mut cluster = Cluster::start(program, routers, seed, &[]);
+    (0..routers).for_each(|router| cluster.stands(router, "whole"));
+    let sent = |cluster: &Cluster| -> Vec<u64> {
+        let bytes = |router| {
+            let line = Client::at(cluster.address(router)).map(|mut client| client.counters_now());
+            counter(&line.unwrap_or_default(), "cluster_out_bytes")
+        };
+        (0..cluster.routers()).map(bytes).collect()
+    };
+    // What it costs when nothing happens.
+    let (before, began) = (sent(&cluster), Instant::now());
+    std::thread::sleep(Duration::from_secs(3));
+    let calm = began.elapsed().as_secs_f64();
+    let bytes: u64 =
+        sent(&cluster).iter().zip(&before).map(|(after, before)| after.saturating_sub(*before)).sum();
+    let load = Load::start(&cluster, 20.0);
+    cluster.play(&mixed(routers, 1.0, seconds, seed), 8.0);
+    let (jobs, unanswered) = load.end(&cluster);
+    let mut report = cluster.record().report();
+    let weather = cluster.relays.weather.lock().expect("the weather");
+    let more = json!({
+        "jobs": jobs,
+        "unanswered": unanswered,
+        "bytes_per_second_per_router": (bytes as f64 / calm / routers as f64).round(),
+        "datagrams_lost": weather.lost,
+        "datagrams_cut": weather.cut,
+        "datagrams_damaged": weather.damaged,
+        "datagrams_twice": weather.twice,
+        "seed": seed,
+    });
+    report.as_object_mut().expect("a report").extend(more.as_object().expect("more").clone());
+    report
+}
+
+/// Thinly loaded routers and an engine that falls silent for a while, twice: with what they tell each other of engines,
+/// and without.
+pub fn words(program: &Path, routers: usize, seed: u64, rate: f64) -> Value {
+    let play = |tell: bool| {
+        let fields = format!(r#""tell_of_engines":{tell},"#);
+        let cluster = Cluster::with(program, routers, 6, seed, &[], &fields);
+        (0..routers).for_each(|router| cluster.stands(router, "whole"));
+        let load = Load::start(&cluster, rate);
+        for sick in 0..2 {
+            std::thread::sleep(Duration::from_secs(3));
+            cluster.engines[sick].silent(true);
+            std::thread::sleep(Duration::from_secs(8));
+            cluster.engines[sick].silent(false);
+        }
+        let (tally, unanswered) = load.tally(&cluster);
+        json!({"jobs": tally.answered, "late": tally.answered - tally.in_time, "unanswered": unanswered})
+    };
+    json!({"routers": routers, "rate": rate, "seed": seed, "told": play(true), "untold": play(false)})
+}
+
+/// The same code in virtual time, under the same schedule. CPU is this process's, for all routers together.
+pub fn measure_virtual(routers: usize, seed: u64, seconds: f64, plot: Option<&Path>) -> Value {
+    let mut world = World::started(routers, Pace::default(), seed);
+    // Large clusters take longer to have met all.
+    let settled = 10.0;
+    world.run_until(settled);
+    let (before, began) = (world.sent_bytes, Instant::now());
+    world.run_until(settled + 5.0);
+    let bytes = (world.sent_bytes - before) as f64 / 5.0 / routers as f64;
+    let cpu = began.elapsed().as_secs_f64() / 5.0 / routers as f64;
+    let from = settled + 6.0;
+    world.plan(&mixed(routers, from, seconds, seed));
+    world.run_until(from + seconds + 8.0);
+    let mut report = world.record.report();
+    let more = json!({
+        "virtual": true,
+        "bytes_per_second_per_router": bytes.round(),
+        "cpu_us_per_second_per_router": (cpu * 1e6).round(),
+        "datagrams_lost": world.weather.lost,
+        "datagrams_cut": world.weather.cut,
+        "datagrams_damaged": world.weather.damaged,
+        "seed": seed,
+    });
+    report.as_object_mut().expect("a report").extend(more.as_object().expect("more").clone());
+    if let Some(path) = plot {
+        report["under_loss"] = under_loss(seed, path);
+    }
+    report
+}
+
+/// Detection and false failures of 30 routers while datagrams are lost, with each defence and without.
+fn under_loss(seed: u64, path: &Path) -> Value {
+    let all = Defences::default();
+    let kinds = [
+        ("all", all),
+        ("no local health", Defences { local_health: false, ..all }),
+        ("no own ears", Defences { own_ears: false, ..all }),
+        ("no suspicion", Defences { suspicion: false, ..all }),
+    ];
+    let losses = [0.0, 0.1, 0.2, 0.3, 0.4, 0.5];
+    let mut rows = Vec::new();
+    for (name, defences) in kinds {
+        for loss in losses {
+            let mut world = World::started(30, Pace { defences, ..Pace::default() }, seed);
+            world.run_until(10.0);
+            world.at(10.0, Act::Loss(loss));
+            (0..3).for_each(|router| world.at(20.0 + f64::from(router) * 15.0, Act::Kill(router as usize)));
+            world.run_until(65.0);
+            let (times, missed) = world.record.detections();
+            let false_failures = world.record.false_failures().len();
+            rows.push((name, loss, times.value_at_quantile(0.99), missed, false_failures));
+        }
+    }
+    if let Err(error) = draw(path, &rows) {
+        eprintln!("{}: {error}", path.display());
+    }
+    rows.iter()
+        .map(|(name, loss, p99, missed, wrong)| {
+            json!({"defences": name, "loss": loss, "detected_ms_p99": p99, "missed": missed, "false_failures": wrong})
+        })
+        .collect()
+}
+
+type Row = (&'static str, f64, u64, u64, usize);
+
+fn draw(path: &Path, rows: &[Row]) -> Result<(), Box<dyn std::error::Error>> {
+    let area = SVGBackend::new(path, (900, 420)).into_drawing_area();
+    area.fill(&WHITE)?;
+    let (left, right) = area.split_horizontally(450);
+    let most = rows.iter().map(|row| row.2).max().unwrap_or(1) as f64 / 1e3;
+    let mut found = ChartBuilder::on(&left)
+        .caption("found failed, p99 (s)", ("sans-serif", 16))
+        .margin(10)
+        .x_label_area_size(30)
+        .y_label_area_size(40)
+        .build_cartesian_2d(0.0..0.5, 0.0..most * 1.1)?;
+    found.configure_mesh().x_desc("share of datagrams lost").draw()?;
+    let most = rows.iter().map(|row| row.4).max().unwrap_or(1).max(1) as f64;
+    let mut wrong = ChartBuilder::on(&right)
+        .caption("called failed for over 1 s, though sound", ("sans-serif", 16))
+        .margin(10)
+        .x_label_area_size(30)
+        .y_label_area_size(50)
+        .build_cartesian_2d(0.0..0.5, 0.0..most * 1.1)?;
+    wrong.configure_mesh().x_desc("share of datagrams lost").draw()?;
+    for (number, name) in ["all", "no local health", "no own ears", "no suspicion"].into_iter().enumerate() {
+        let color = Palette99::pick(number).to_rgba();
+        let of = || rows.iter().filter(move |row| row.0 == name);
+        found
+            .draw_series(LineSeries::new(of().map(|row| (row.1, row.2 as f64 / 1e3)), color.stroke_width(2)))?
+            .label(name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 15, y)], color));
+        wrong.draw_series(LineSeries::new(of().map(|row| (row.1, row.4 as f64)), color.stroke_width(2)))?;
+    }
+    found.configure_series_labels().border_style(BLACK).draw()?;
+    area.present()?;
+    Ok(())
+}
--- a/crates/lab/src/standins.rs
+++ b/crates/lab/src/standins.rs
@@ -5,7 +5,7 @@
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -14,31 +14,48 @@
 /// Longer than anything here takes; what is awaited comes much sooner.
 pub const GENEROUS: Duration = Duration::from_secs(20);
 
+type Follower = Box<dyn Fn(&str) + Send>;
+
+#[derive(Default)]
+struct Lines {
+    all: Vec<String>,
+    follower: Option<Follower>,
+}
+
 /// A list that grows, and that a test can wait on.
 #[derive(Clone, Default)]
-pub struct Seen(Arc<(Mutex<Vec<String>>, Condvar)>);
+pub struct Seen(Arc<(Mutex<Lines>, Condvar)>);
 
 impl Seen {
     pub fn add(&self, line: &str) {
-        self.0 .0.lock().unwrap().push(line.to_string());
+        let mut lines = self.0 .0.lock().unwrap();
+        lines.follower.iter().for_each(|follower| follower(line));
+        lines.all.push(line.to_string());
         self.0 .1.notify_all();
     }
 
+    /// Hands every line over, those that were there before first.
+    pub fn follow(&self, follower: impl Fn(&str) + Send + 'static) {
+        let mut lines = self.0 .0.lock().unwrap();
+        lines.all.iter().for_each(|line| follower(line));
+        lines.follower = Some(Box::new(follower));
+    }
+
     pub fn forget(&self) {
-        self.0 .0.lock().unwrap().clear();
+        self.0 .0.lock().unwrap().all.clear();
     }
 
     pub fn all(&self) -> Vec<String> {
-        self.0 .0.lock().unwrap().clone()
+        self.0 .0.lock().unwrap().all.clone()
     }
 
     /// Waits for so many lines that hold the words.
     pub fn wait(&self, words: &str, count: usize) -> Vec<String> {
-        let found = |lines: &Vec<String>| lines.iter().filter(|line| line.contains(words)).count() >= count;
+        let found = |lines: &Lines| lines.all.iter().filter(|line| line.contains(words)).count() >= count;
         let guard = self.0 .0.lock().unwrap();
         let (guard, late) = self.0 .1.wait_timeout_while(guard, GENEROUS, |lines| !found(lines)).unwrap();
-        assert!(!late.timed_out(), "no {count} lines with {words:?}: {guard:?}");
-        guard.iter().filter(|line| line.contains(words)).cloned().collect()
+        assert!(!late.timed_out(), "no {count} lines with {words:?}: {:?}", guard.all);
+        guard.all.iter().filter(|line| line.contains(words)).cloned().collect()
     }
 }
 
@@ -286,7 +303,19 @@
         more: &[&str],
         change: impl Fn(String) -> String,
     ) -> Router {
-        let address = vacant();
+        Router::at(vacant(), Path::new(program), board, sockets, more, change)
+    }
+
+    /// The same at an address that it may have had before.
+    pub fn at(
+        address: SocketAddr,
+        program: &Path,
+        board: &Board,
+        sockets: u32,
+        more: &[&str],
+        change: impl Fn(String) -> String,
+    ) -> Router {
+        let program = program.display();
         let number = ROUTERS.fetch_add(1, Ordering::Relaxed);
         let file = std::env::temp_dir().join(format!("cleatgw-{}-{number}.json", std::process::id()));
         let text = change(configuration(address, board.address, &board.known(), sockets));
@@ -296,7 +325,10 @@
         let mut child = Command::new("sh")
             .args(["-c", &limited])
             .env("BALANCER_CONFIG", &file)
-            .env("RUST_LOG", if more.contains(&"--teams") { "info" } else { "debug" })
+            .env(
+                "RUST_LOG",
+                if more.contains(&"--teams") || more.contains(&"--cluster") { "info" } else { "debug" },
+            )
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
--- /dev/null
+++ b/crates/lab/src/virtual_members.rs
@@ -0,0 +1,268 @@
+//! Many routers' memberships in virtual time: the real code, under the schedules that the relays play on loopback.
+
+use crate::judge::{Record, Said, Truth};
+use crate::weather::{Act, Schedule, Weather};
+use cleatgw_members::swim::Pace;
+use cleatgw_members::Members;
+use std::collections::BTreeMap;
+
+enum Event {
+    Datagram { from: usize, to: usize, bytes: Vec<u8> },
+    Turn(usize),
+    Do(Act),
+}
+
+struct Router {
+    /// None while it is dead.
+    members: Option<Members>,
+    frozen: bool,
+    /// What waits in a frozen one's socket buffer, at most so much as a system keeps.
+    buffer: Vec<(usize, Vec<u8>)>,
+    turn_at: f64,
+    starts: u32,
+    leaves_at: Option<f64>,
+    received: u64,
+    sent: u64,
+}
+
+const CLUSTER: u64 = 7;
+const SOCKET_BUFFER: usize = 200;
+/// A router that leaves by plan runs on for so long, in seconds.
+pub const LEAVES_FOR: f64 = 1.0;
+
+pub struct World {
+    pub now: f64,
+    pub weather: Weather,
+    pub record: Record,
+    pub pace: Pace,
+    /// The Unix clock that each router's life begins from, in milliseconds beside the true one.
+    pub clocks: Vec<i64>,
+    /// Its turns come so late, in seconds: it is overloaded.
+    pub slow: Vec<f64>,
+    routers: Vec<Router>,
+    queue: BTreeMap<(u64, u64), Event>,
+    numbered: u64,
+    seed: u64,
+    pub sent_bytes: u64,
+}
+
+impl World {
+    pub fn new(routers: usize, pace: Pace, seed: u64) -> World {
+        let truth = Truth {
+            at: 0.0,
+            up: vec![false; routers],
+            cut: vec![vec![false; routers]; routers],
+            life: vec![0; routers],
+            rough: false,
+        };
+        let dead = || Router {
+            members: None,
+            frozen: false,
+            buffer: Vec::new(),
+            turn_at: 0.0,
+            starts: 0,
+            leaves_at: None,
+            received: 0,
+            sent: 0,
+        };
+        World {
+            now: 0.0,
+            weather: Weather::new(routers, seed),
+            record: Record::new(truth),
+            pace,
+            clocks: vec![0; routers],
+            slow: vec![0.0; routers],
+            routers: (0..routers).map(|_| dead()).collect(),
+            queue: BTreeMap::new(),
+            numbered: 0,
+            seed,
+            sent_bytes: 0,
+        }
+    }
+
+    /// The same with all routers started within a second.
+    pub fn started(routers: usize, pace: Pace, seed: u64) -> World {
+        let mut world = World::new(routers, pace, seed);
+        for router in 0..routers {
+            world.at(router as f64 / routers as f64, Act::Start(router));
+        }
+        world
+    }
+
+    pub fn routers(&self) -> usize {
+        self.routers.len()
+    }
+
+    fn push(&mut self, at: f64, event: Event) {
+        self.numbered += 1;
+        self.queue.insert((at.max(0.0).to_bits(), self.numbered), event);
+    }
+
+    pub fn at(&mut self, at: f64, act: Act) {
+        self.push(at, Event::Do(act));
+    }
+
+    pub fn plan(&mut self, schedule: &Schedule) {
+        schedule.iter().for_each(|(at, act)| self.at(*at, act.clone()));
+        self.record.faults += schedule.len();
+    }
+
+    pub fn members(&self, router: usize) -> Option<&Members> {
+        self.routers[router].members.as_ref()
+    }
+
+    pub fn members_mut(&mut self, router: usize) -> Option<&mut Members> {
+        self.routers[router].members.as_mut()
+    }
+
+    /// Puts a datagram on the way, whoever made it.
+    pub fn inject(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
+        self.push(self.now, Event::Datagram { from, to, bytes });
+    }
+
+    pub fn run_until(&mut self, end: f64) {
+        while let Some(entry) = self.queue.first_entry() {
+            let at = f64::from_bits(entry.key().0);
+            if at > end {
+                break;
+            }
+            let event = entry.remove();
+            self.now = self.now.max(at);
+            match event {
+                Event::Do(act) => self.act(act),
+                Event::Datagram { from, to, bytes } => self.arrives(from, to, bytes),
+                Event::Turn(router) => self.turn(router),
+            }
+        }
+        self.now = end;
+        self.record.end = end;
+    }
+
+    fn arrives(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
+        let now = self.now;
+        let router = &mut self.routers[to];
+        let Some(members) = &mut router.members else { return };
+        if router.frozen || self.slow[to] > 0.0 {
+            if router.buffer.len() < SOCKET_BUFFER {
+                router.buffer.push((from, bytes));
+            }
+            return;
+        }
+        router.received += 1;
+        let _ = members.datagram(from, &bytes, now);
+        self.serve(to);
+    }
+
+    fn turn(&mut self, at: usize) {
+        let router = &mut self.routers[at];
+        // One that was planned before the latest is none.
+        if router.members.is_none() || router.frozen || router.turn_at > self.now {
+            return;
+        }
+        for (from, bytes) in std::mem::take(&mut router.buffer) {
+            router.received += 1;
+            let _ = router.members.as_mut().expect("it runs").datagram(from, &bytes, self.now);
+        }
+        if router.leaves_at.is_some_and(|leaves| self.now >= leaves) {
+            router.members = None;
+            return;
+        }
+        self.serve(at);
+    }
+
+    /// One turn of a router's loop, after what came in.
+    fn serve(&mut self, at: usize) {
+        let now = self.now;
+        let router = &mut self.routers[at];
+        let Some(members) = &mut router.members else { return };
+        members.turn(now);
+        let out = members.outgoing();
+        for change in members.changes() {
+            let state = change.to.word().to_string();
+            self.record.say(Said { at: now, by: at, of: change.router, state });
+        }
+        let leaves = router.leaves_at.unwrap_or(f64::INFINITY);
+        let due = members.due().min(leaves).max(now) + self.slow[at];
+        router.turn_at = due;
+        router.sent += out.len() as u64;
+        self.push(due, Event::Turn(at));
+        for (to, bytes) in out {
+            let to = usize::from(to);
+            self.sent_bytes += bytes.len() as u64;
+            for (delay, damaged) in self.weather.fate(at, to, now) {
+                let mut bytes = bytes.clone();
+                if damaged {
+                    self.weather.spoil(&mut bytes);
+                }
+                self.push(now + delay, Event::Datagram { from: at, to, bytes });
+            }
+        }
+    }
+
+    fn act(&mut self, act: Act) {
+        let count = self.routers.len();
+        match act {
+            Act::Start(at) => {
+                let starts = self.routers[at].starts + 1;
+                // Unix milliseconds at the start, by this router's clock.
+                let born = 1_700_000_000_000 + (self.now * 1e3) as i64 + self.clocks[at];
+                let seed = self.seed.wrapping_mul(31).wrapping_add((at * 1000) as u64 + u64::from(starts));
+                let members = Members::new(CLUSTER, count, at, born as u64, &self.pace, seed, self.now);
+                let router = &mut self.routers[at];
+                (router.members, router.frozen, router.leaves_at) = (Some(members), false, None);
+                (router.starts, router.turn_at) = (starts, self.now);
+                router.buffer.clear();
+                // Its own view begins anew.
+                for of in (0..count).filter(|of| *of != at) {
+                    self.record.say(Said { at: self.now, by: at, of, state: "unseen".to_string() });
+                }
+                self.push(self.now, Event::Turn(at));
+            }
+            Act::Kill(at) => self.routers[at].members = None,
+            Act::Freeze(at) => self.routers[at].frozen = true,
+            Act::Wake(at) => {
+                self.routers[at].frozen = false;
+                self.routers[at].turn_at = self.now;
+                self.push(self.now, Event::Turn(at));
+            }
+            Act::Leave(at) => {
+                let now = self.now;
+                if let Some(members) = &mut self.routers[at].members {
+                    members.leave(now);
+                    self.routers[at].leaves_at = Some(now + LEAVES_FOR);
+                }
+                self.serve(at);
+            }
+            Act::Cut(one, other) => {
+                self.weather.link(one, other).cut = true;
+                self.weather.link(other, one).cut = true;
+            }
+            Act::CutOneWay(from, to) => self.weather.link(from, to).cut = true,
+            Act::Part(parts) => self.weather.part(&parts),
+            Act::Heal => self.weather.all(|link| link.cut = false),
+            Act::Loss(loss) => self.weather.all(|link| link.loss = loss),
+            Act::Spread(spread) => self.weather.all(|link| link.spread = spread),
+            Act::Twice(twice) => self.weather.all(|link| link.twice = twice),
+            Act::Damage(damage) => self.weather.all(|link| link.damage = damage),
+            Act::Stall(from, until) => {
+                (0..count).for_each(|to| self.weather.link(from, to).stalled_until = until);
+            }
+        }
+        let up = |router: &Router| router.members.is_some() && !router.frozen && router.leaves_at.is_none();
+        let truth = Truth {
+            at: self.now,
+            up: self.routers.iter().map(up).collect(),
+            cut: (0..count)
+                .map(|from| (0..count).map(|to| self.weather.is_cut(from, to)).collect())
+                .collect(),
+            life: self.routers.iter().map(|router| router.starts).collect(),
+            rough: self.weather.rough(),
+        };
+        let same = |last: &Truth| {
+            (&last.up, &last.cut, &last.life, last.rough) == (&truth.up, &truth.cut, &truth.life, truth.rough)
+        };
+        if !self.record.truths.last().is_some_and(same) {
+            self.record.truths.push(truth);
+        }
+    }
+}
--- /dev/null
+++ b/crates/members/tests/stories.rs
@@ -0,0 +1,370 @@
+//! Several routers in virtual time, one story for each way in which they may lose sight of one another.
+
+use cleatgw_lab::virtual_members::World;
+use cleatgw_lab::weather::Act;
+use cleatgw_members::swim::{Defences, Pace};
+use cleatgw_members::view::Standing;
+use cleatgw_members::wire::Dropped;
+use cleatgw_members::{cluster_hash, Members, State};
+
+/// All started and whole.
+fn whole(routers: usize, seed: u64) -> World {
+    whole_with(routers, Pace::default(), seed)
+}
+
+fn whole_with(routers: usize, pace: Pace, seed: u64) -> World {
+    let mut world = World::started(routers, pace, seed);
+    world.run_until(8.0);
+    for router in 0..routers {
+        let standing = world.members(router).unwrap().standing();
+        assert_eq!(standing, Standing::Whole, "router {router}, seed {seed}");
+    }
+    world
+}
+
+fn standing(world: &World, router: usize) -> Standing {
+    world.members(router).expect("it runs").standing()
+}
+
+fn state(world: &World, by: usize, of: usize) -> State {
+    world.members(by).expect("it runs").members()[of].state
+}
+
+fn failed(world: &World, by: usize) -> Vec<usize> {
+    let members = world.members(by).expect("it runs").members();
+    (0..members.len()).filter(|of| members[*of].state == State::Failed).collect()
+}
+
+fn agreed_in(world: &World, most_ms: u64) {
+    let agreed = world.record.agreed_after();
+    assert!(agreed.is_some_and(|agreed| agreed <= most_ms), "{agreed:?}");
+}
+
+/// Nobody that ran and could be reached was held failed for long; what was found was found in time.
+fn sound(world: &World, detected_ms: u64) {
+    assert_eq!(world.record.false_failures(), []);
+    let (times, missed) = world.record.detections();
+    assert!(missed == 0 && times.max() <= detected_ms, "{missed} missed, {} ms", times.max());
+}
+
+#[test]
+fn one_that_is_killed_is_known_failed_to_all_in_three_seconds() {
+    for seed in 0..10 {
+        let mut world = whole(9, seed);
+        world.at(10.0, Act::Kill(4));
+        world.run_until(20.0);
+        sound(&world, 3500);
+        assert_eq!(world.record.detections().0.len(), 8);
+        assert_eq!((standing(&world, 0), failed(&world, 0)), (Standing::Majority, vec![4]));
+    }
+}
+
+#[test]
+fn one_that_is_frozen_wakes_with_an_old_view_and_full_buffers_and_accuses_nobody() {
+    for seed in 0..10 {
+        let mut world = whole(9, seed);
+        world.at(10.0, Act::Freeze(2));
+        world.at(15.0, Act::Wake(2));
+        world.run_until(15.01);
+        assert_eq!(standing(&world, 2), Standing::JustWoken);
+        assert!(!world.members(2).unwrap().allowed().tells_of_engines);
+        world.run_until(25.0);
+        sound(&world, 3500);
+        agreed_in(&world, 3500);
+        assert!(failed(&world, 2).is_empty(), "seed {seed}");
+        assert_eq!(standing(&world, 2), Standing::Whole);
+    }
+}
+
+#[test]
+fn one_that_is_restarted_faster_than_it_is_found_failed_is_there_in_its_new_life() {
+    let mut world = whole(9, 3);
+    let before = world.members(0).unwrap().members()[5].born;
+    world.plan(&vec![(10.0, Act::Kill(5)), (10.2, Act::Start(5))]);
+    world.run_until(20.0);
+    sound(&world, 0);
+    assert!(world.members(0).unwrap().members()[5].born > before);
+    assert_eq!(standing(&world, 5), Standing::Whole);
+}
+
+/// One hears the other, and is not heard: neither is failed, and both can be seen to hear badly.
+#[test]
+fn a_link_that_is_cut_one_way_fails_neither_end() {
+    for seed in 0..10 {
+        let mut world = whole(9, seed);
+        world.at(10.0, Act::CutOneWay(0, 1));
+        world.run_until(30.0);
+        sound(&world, 0);
+        assert_eq!(state(&world, 1, 0), State::SeenByOthers, "seed {seed}");
+        let hears_us = world.now - world.members(0).unwrap().members()[1].hears_us_at;
+        assert!(hears_us > 10.0, "it tells that it does not hear us: {hears_us}");
+        assert_eq!((standing(&world, 0), standing(&world, 1)), (Standing::Whole, Standing::Whole));
+    }
+}
+
+#[test]
+fn two_that_can_not_hear_each_other_but_both_hear_the_others_are_seen_by_others() {
+    let mut world = whole(9, 4);
+    world.at(10.0, Act::Cut(0, 1));
+    world.run_until(30.0);
+    assert_eq!(world.record.false_failures(), []);
+    assert_eq!((state(&world, 0, 1), state(&world, 1, 0)), (State::SeenByOthers, State::SeenByOthers));
+    assert_eq!(state(&world, 2, 1), State::Present);
+}
+
+#[test]
+fn two_halves_of_equal_size_allow_nothing_on_either_side_and_agree_after_they_heal() {
+    for seed in 0..5 {
+        let mut world = whole(10, seed);
+        let parts = (0..10).map(|router| router % 2).collect();
+        world.plan(&vec![(10.0, Act::Part(parts)), (20.0, Act::Heal)]);
+        world.run_until(19.9);
+        for router in 0..10 {
+            assert_eq!(standing(&world, router), Standing::Half, "router {router}, seed {seed}");
+            assert!(!world.members(router).unwrap().allowed().takes_over);
+        }
+        world.run_until(32.0);
+        agreed_in(&world, 3000);
+        (0..10).for_each(|router| assert_eq!(standing(&world, router), Standing::Whole));
+    }
+}
+
+#[test]
+fn of_three_parts_none_has_a_majority_and_all_agree_after_they_heal() {
+    for seed in 0..10 {
+        let mut world = whole(9, seed);
+        let parts = (0..9).map(|router| router % 3).collect();
+        world.plan(&vec![(10.0, Act::Part(parts)), (16.0, Act::Heal)]);
+        world.run_until(15.9);
+        (0..9).for_each(|router| assert_eq!(standing(&world, router), Standing::Minority));
+        world.run_until(28.0);
+        agreed_in(&world, 3000);
+    }
+}
+
+#[test]
+fn a_cut_that_heals_for_a_moment_and_returns_leaves_no_lasting_disagreement() {
+    let mut world = whole(9, 7);
+    let parts: Vec<usize> = (0..9).map(|router| usize::from(router < 4)).collect();
+    for round in 0..10 {
+        let at = 10.0 + f64::from(round) * 1.5;
+        world.at(at, Act::Part(parts.clone()));
+        world.at(at + 1.3, Act::Heal);
+    }
+    world.run_until(40.0);
+    agreed_in(&world, 3000);
+    (0..9).for_each(|router| assert_eq!(standing(&world, router), Standing::Whole));
+}
+
+#[test]
+fn with_three_in_ten_datagrams_lost_nobody_is_called_failed_for_long_and_the_dead_are_found() {
+    for seed in 0..5 {
+        let mut world = whole(9, seed);
+        world.at(9.0, Act::Loss(0.3));
+        world.at(40.0, Act::Kill(8));
+        world.run_until(60.0);
+        assert!(world.weather.lost > 1000);
+        assert_eq!(world.record.false_failures(), [], "seed {seed}");
+        assert_eq!(world.record.detections().1, 0);
+    }
+}
+
+/// Hard case: it hears nothing in time, so that all others seem silent to it.
+#[test]
+fn an_overloaded_router_that_accuses_everyone_convinces_nobody() {
+    let once = |defences: Defences, seed: u64| {
+        let mut world = whole_with(9, Pace { defences, ..Pace::default() }, seed);
+        (0..9).for_each(|from| world.weather.link(from, 3).loss = 0.5);
+        world.slow[3] = 0.3;
+        world.run_until(60.0);
+        let others = || (0..9).filter(|at| *at != 3).map(|at| world.members(at).unwrap().counts());
+        let believed =
+            world.record.false_failures().into_iter().filter(|(_, by, of)| *by != 3 && *of != 3).count();
+        let accused: u64 = others().map(|counts| counts.refutations + counts.contradicted).sum();
+        (
+            others().map(|counts| counts.new_lives).sum::<u64>(),
+            believed,
+            accused,
+            world.members(3).unwrap().health(),
+        )
+    };
+    let play = |defences: Defences| {
+        let all = (0..5).map(|seed| once(defences, seed));
+        all.fold((0, 0, 0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1, sum.2 + one.2, sum.3 + one.3))
+    };
+    let (new_lives, believed, accused, health) = play(Defences::default());
+    assert_eq!(believed, 0);
+    assert!(accused > 0 && health > 0, "it accused {accused} times, and finds itself slow: {health}");
+    let deaf_to_itself = Defences { local_health: false, ..Defences::default() };
+    let (without, ..) = play(deaf_to_itself);
+    assert!(without > 4 * (new_lives + 1), "{without} new lives without local health, {new_lives} with");
+}
+
+#[test]
+fn seven_of_ten_killed_at_once_leave_a_minority_that_says_so() {
+    for seed in 0..5 {
+        let mut world = whole(10, seed);
+        (3..10).for_each(|router| world.at(10.0, Act::Kill(router)));
+        world.run_until(22.0);
+        (0..3).for_each(|router| {
+            assert_eq!(standing(&world, router), Standing::Minority);
+            assert_eq!(failed(&world, router), [3, 4, 5, 6, 7, 8, 9]);
+        });
+        let (times, missed) = world.record.detections();
+        assert!(missed == 0 && times.max() < 7000, "{missed} missed, {} ms", times.max());
+        (3..10).for_each(|router| world.at(22.0, Act::Start(router)));
+        world.run_until(32.0);
+        (0..10).for_each(|router| assert_eq!(standing(&world, router), Standing::Whole));
+    }
+}
+
+#[test]
+fn all_that_are_restarted_within_a_second_find_each_other() {
+    let mut world = whole(9, 9);
+    for router in 0..9 {
+        world.at(10.0 + router as f64 * 0.1, Act::Kill(router));
+        world.at(10.05 + router as f64 * 0.1, Act::Start(router));
+    }
+    world.run_until(20.0);
+    agreed_in(&world, 3000);
+    (0..9).for_each(|router| assert_eq!(standing(&world, router), Standing::Whole));
+}
+
+/// Hard case: a second process goes under a router's name, from another place: its datagrams come from an address that
+/// is not the name's, which the host drops; here one that got as far is found by its life.
+#[test]
+fn a_name_that_is_given_twice_is_noticed_by_the_older_one() {
+    let mut world = whole(5, 10);
+    let cluster = 7;
+    for round in 0..30u64 {
+        let at = world.now + 0.5;
+        let mut twin =
+            Members::new(cluster, 5, 2, 1_900_000_000_000 + round * 1000, &Pace::default(), round, at);
+        twin.turn(at);
+        for (to, bytes) in twin.outgoing() {
+            world.inject(2, to.into(), bytes);
+        }
+        world.run_until(at);
+    }
+    assert_eq!(standing(&world, 2), Standing::Doubled);
+    assert!(world.members(2).unwrap().allowed().warns);
+    assert!(!world.members(2).unwrap().allowed().grants_leases);
+}
+
+#[test]
+fn a_clock_that_was_set_back_or_ahead_by_an_hour_before_a_start_keeps_nobody_out() {
+    for hour in [-3_600_000, 3_600_000] {
+        let mut world = whole(5, 11);
+        world.clocks[1] = hour;
+        world.plan(&vec![(10.0, Act::Kill(1)), (15.0, Act::Start(1))]);
+        world.run_until(25.0);
+        agreed_in(&world, 3000);
+        assert_eq!(standing(&world, 1), Standing::Whole, "{hour}");
+        assert_eq!(state(&world, 0, 1), State::Present);
+    }
+}
+
+#[test]
+fn a_datagram_of_a_former_life_is_dropped_and_changes_nothing() {
+    let mut world = whole(5, 12);
+    let now = world.now;
+    let old: Vec<(u16, Vec<u8>)> = {
+        let one = world.members_mut(3).unwrap();
+        (0..8)
+            .flat_map(|step| {
+                one.turn(now + f64::from(step) * 0.25);
+                one.outgoing()
+            })
+            .collect()
+    };
+    assert!(old.len() > 8);
+    world.plan(&vec![(10.0, Act::Kill(3)), (10.5, Act::Start(3))]);
+    world.run_until(16.0);
+    let born = world.members(0).unwrap().members()[3].born;
+    old.into_iter().for_each(|(to, bytes)| world.inject(3, to.into(), bytes));
+    world.run_until(20.0);
+    let counts = world.members(0).unwrap().counts();
+    assert!(counts.dropped.get(&Dropped::FormerLife).is_some_and(|dropped| *dropped > 0), "{counts:?}");
+    assert_eq!(world.members(0).unwrap().members()[3].born, born);
+    assert_eq!(standing(&world, 0), Standing::Whole);
+}
+
+/// Two clusters by one wrong address, and noise from it as fast as it comes.
+#[test]
+fn noise_and_a_foreign_cluster_are_counted_and_change_nothing() {
+    let mut world = whole(5, 13);
+    let foreign = cluster_hash("other", ["a", "b"]);
+    let mut other = Members::new(foreign, 5, 2, 1_900_000_000_000, &Pace::default(), 1, world.now);
+    let mut chance = 1u64;
+    for step in 0..2000 {
+        let at = 8.0 + f64::from(step) * 0.001;
+        other.turn(at);
+        for (to, bytes) in other.outgoing() {
+            world.inject(2, to.into(), bytes);
+        }
+        chance = chance.wrapping_mul(6364136223846793005).wrapping_add(1);
+        world.inject(2, 0, chance.to_le_bytes().repeat(1 + (chance >> 60) as usize));
+        world.inject(2, 0, vec![b'c'; 3000]);
+        world.run_until(at);
+    }
+    world.run_until(12.0);
+    let counts = world.members(0).unwrap().counts();
+    let dropped = |why| counts.dropped.get(&why).copied().unwrap_or(0);
+    assert!(dropped(Dropped::OtherCluster) > 0 && dropped(Dropped::Noise) >= 1900, "{counts:?}");
+    assert_eq!(dropped(Dropped::TooLong), 2000);
+    assert_eq!(standing(&world, 0), Standing::Whole);
+    assert_eq!(world.record.false_failures(), []);
+}
+
+#[test]
+fn one_that_leaves_by_plan_is_gone_and_not_failed() {
+    let mut world = whole(9, 14);
+    world.at(10.0, Act::Leave(6));
+    world.run_until(20.0);
+    for router in (0..9).filter(|router| *router != 6) {
+        assert_eq!(state(&world, router, 6), State::Left, "router {router}");
+    }
+    assert_eq!(world.record.false_failures(), []);
+}
+
+#[test]
+fn one_that_leaves_while_it_is_cut_off_is_found_failed_and_back_after_its_start() {
+    let mut world = whole(9, 15);
+    let parts = (0..9).map(|router| usize::from(router == 6)).collect();
+    world.plan(&vec![
+        (10.0, Act::Part(parts)),
+        (11.0, Act::Leave(6)),
+        (15.0, Act::Heal),
+        (16.0, Act::Start(6)),
+    ]);
+    world.run_until(14.9);
+    assert_eq!(state(&world, 0, 6), State::Failed, "nobody was told");
+    world.run_until(25.0);
+    agreed_in(&world, 3000);
+    assert_eq!(standing(&world, 6), Standing::Whole);
+}
+
+#[test]
+fn a_stall_that_lets_go_of_everything_at_once_does_no_harm() {
+    let mut world = whole(9, 16);
+    world.at(10.0, Act::Stall(1, 15.0));
+    world.run_until(18.0);
+    assert!(world.weather.stalled > 10);
+    (0..9).for_each(|router| assert_eq!(standing(&world, router), Standing::Whole));
+}
+
+/// The same code at the size of the fleet: a third are lost, halves are cut off and heal.
+#[test]
+fn three_hundred_routers_find_the_dead_and_agree_after_a_heal() {
+    let mut world = World::started(300, Pace::default(), 17);
+    world.run_until(12.0);
+    assert_eq!(standing(&world, 0), Standing::Whole);
+    (0..20).for_each(|router| world.at(12.0, Act::Kill(router * 15)));
+    world.run_until(24.0);
+    let (times, missed) = world.record.detections();
+    assert_eq!((times.len(), missed), (20 * 280, 0));
+    assert!(times.value_at_quantile(0.99) < 8000, "{} ms", times.value_at_quantile(0.99));
+    assert_eq!(world.record.false_failures(), []);
+    let bytes = world.sent_bytes as f64 / 24.0 / 300.0;
+    assert!(bytes < 40_000.0, "{bytes} bytes a second and router");
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,11 +1,13 @@
-//! The operator's files: on service addresses (which are announced, to whom, and when) and on teams (who shares the
-//! engines, and how). JSON, with schemas derived from the types; an error names the field by its path, what was expected and what stood there.
+//! The operator's files: on service addresses (which are announced, to whom, and when), on teams (who shares the engines,
+//! and how) and on the cluster (which routers know each other). JSON, with schemas derived from the types; an error names the field by its path, what was expected and what stood there.
 
 mod bgp;
+mod cluster;
 mod service;
 mod teams;
 
 pub use bgp::{BgpPart, PeerPart, RolePart};
+pub use cluster::{cluster_schema, read_cluster, ClusterFile, PacePart, RouterPart};
 pub use service::{DampingPart, DearPart, EffectPart, HoldPart, ServiceFile, SignPart, SignsPart};
 
 pub use teams::{read_teams, teams_schema, BudgetPart, OthersPart, TeamNames, TeamPart, TeamsFile};
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -8,7 +8,7 @@
 mod transport;
 
 use bpaf::{construct, long, positional, pure, OptionParser, Parser};
-use cleatgw_operator::{ServiceFile, TeamsFile};
+use cleatgw_operator::{ClusterFile, ServiceFile, TeamsFile};
 use log_lines::Form;
 use routing::{News, Routing};
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
@@ -16,27 +16,36 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use transport::{Operators, Reread};
+use transport::{Joining, Operators, Reread};
 
 const CONFIG: &str = "BALANCER_CONFIG";
 
+/// The operator's files, each of which may be absent.
+#[derive(Clone, Debug, Default)]
+struct Files {
+    service: Option<PathBuf>,
+    teams: Option<PathBuf>,
+    cluster: Option<PathBuf>,
+}
+
 #[derive(Clone, Debug)]
 enum Command {
-    Serve { config: Option<PathBuf>, service: Option<PathBuf>, teams: Option<PathBuf>, form: Form },
-    Check { config: Option<PathBuf>, service: Option<PathBuf>, teams: Option<PathBuf> },
+    Serve { config: Option<PathBuf>, files: Files, form: Form },
+    Check { config: Option<PathBuf>, files: Files },
     Schema { of: String },
-    Status { address: SocketAddr },
+    Status { address: SocketAddr, of: String },
     Version,
 }
 
 fn options() -> OptionParser<Command> {
-    let service = || {
-        let file = long("service").help("The service addresses that follow this router");
-        file.argument::<PathBuf>("FILE").optional()
-    };
-    let teams = || {
-        let file = long("teams").help("The teams that share the engines");
-        file.argument::<PathBuf>("FILE").optional()
+    let files = || {
+        let service = long("service").help("The service addresses that follow this router");
+        let service = service.argument::<PathBuf>("FILE").optional();
+        let teams = long("teams").help("The teams that share the engines");
+        let teams = teams.argument::<PathBuf>("FILE").optional();
+        let cluster = long("cluster").help("The routers that know each other");
+        let cluster = cluster.argument::<PathBuf>("FILE").optional();
+        construct!(Files { service, teams, cluster })
     };
     let serve = {
         let config = long("config")
@@ -46,31 +55,35 @@
             .optional();
         let form =
             long("log-format").help("text (the usual one) or json").argument("FORM").fallback(Form::Text);
-        let (service, teams) = (service(), teams());
-        construct!(Command::Serve { config, service, teams, form })
+        let files = files();
+        construct!(Command::Serve { config, files, form })
     };
     let serve = serve.to_options().descr("Serves clients until SIGTERM").command("serve");
     let check = {
         let config = positional("FILE").help("The configuration").optional();
-        let (service, teams) = (service(), teams());
-        construct!(Command::Check { service, teams, config })
+        let files = files();
+        construct!(Command::Check { files, config })
     };
     let check = check
         .to_options()
         .descr("Reads a configuration or operator's files, and says what they hold or what is wrong")
         .command("check");
     let schema = {
-        let of = positional("FILE").help("service (the usual one) or teams").fallback("service".to_string());
+        let of = positional("FILE")
+            .help("service (the usual one), teams or cluster")
+            .fallback("service".to_string());
         construct!(Command::Schema { of })
     };
     let schema = schema.to_options().descr("Prints the schema of an operator's file").command("schema");
     let status = {
         let address = positional("ADDRESS").help("Where the router listens, with its port");
-        construct!(Command::Status { address })
+        let of = positional("OF").help("announcements (the usual one), cluster or teams");
+        let of = of.fallback("announcements".to_string());
+        construct!(Command::Status { address, of })
     };
-    let status = status.to_options().descr("Asks a router how its service addresses stand").command("status");
+    let status = status.to_options().descr("Asks a router how something stands").command("status");
     let version = pure(Command::Version).to_options().descr("Prints the version").command("version");
-    let none = pure(Command::Serve { config: None, service: None, teams: None, form: Form::Text });
+    let none = pure(Command::Serve { config: None, files: Files::default(), form: Form::Text });
     construct!([serve, check, schema, status, version, none])
         .to_options()
         .descr("A query gateway: decides what runs, where, and with how much memory")
@@ -120,16 +133,30 @@
     cleatgw_operator::read_teams(&text).map_err(|wrong| format!("{}: {}", path.display(), wrong.0))
 }
 
-fn serve(
-    config: Option<PathBuf>,
-    service_path: Option<PathBuf>,
-    teams_path: Option<PathBuf>,
-) -> Result<(), String> {
+fn cluster(path: &Path) -> Result<ClusterFile, String> {
+    let text = std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    cleatgw_operator::read_cluster(&text).map_err(|wrong| format!("{}: {}", path.display(), wrong.0))
+}
+
+/// This router in its cluster, in a life that begins now.
+fn joining(path: &Path, name: &str, seed: u64) -> Result<Joining, String> {
+    let file = cluster(path)?;
+    let place = file.place(name).map_err(|wrong| format!("{}: {}", path.display(), wrong.0))?;
+    Ok(Joining { file, place, born: (transport::unix_time() * 1e3) as u64, seed })
+}
+
+fn serve(config: Option<PathBuf>, files: Files) -> Result<(), String> {
+    let Files { service: service_path, teams: teams_path, cluster: cluster_path } = files;
     let path = path(config)?;
     let mut told = told(&path)?;
     let service_file = service_path.as_deref().map(service).transpose()?;
     let teams_file = teams_path.as_deref().map(teams).transpose()?;
+    let (name, seed) = (told.name.clone(), told.seed);
     let operators = Operators {
+        cluster: cluster_path.as_deref().map(|path| joining(path, &name, seed)).transpose()?,
+        reread_cluster: Box::new(move || {
+            joining(cluster_path.as_deref().unwrap_or(Path::new("")), &name, seed)
+        }),
         service: service_file.map(|file| (file, told.seed)),
         reread_service: Box::new(move || service(service_path.as_deref().unwrap_or(Path::new("")))),
         reread_teams: teams_path.map(|path| Box::new(move || teams(&path)) as _),
@@ -172,14 +199,26 @@
     Ok(())
 }
 
-fn check(config: Option<PathBuf>, service: Option<PathBuf>, teams: Option<PathBuf>) -> Result<(), String> {
-    service.as_deref().map(check_service).transpose()?;
-    teams.as_deref().map(check_teams).transpose()?;
+fn check_cluster(path: &Path) -> Result<(), String> {
+    let file = cluster(path)?;
+    let names: Vec<&str> = file.routers.iter().map(|router| router.name.as_str()).collect();
+    println!("{}: cluster {}, {} routers ({})", path.display(), file.name, names.len(), names.join(" "));
+    Ok(())
+}
+
+fn check(config: Option<PathBuf>, files: Files) -> Result<(), String> {
+    files.service.as_deref().map(check_service).transpose()?;
+    files.teams.as_deref().map(check_teams).transpose()?;
+    files.cluster.as_deref().map(check_cluster).transpose()?;
     // Each may be checked alone.
-    if (service.is_some() || teams.is_some()) && config.is_none() && std::env::var_os(CONFIG).is_none() {
+    let any = files.service.is_some() || files.teams.is_some() || files.cluster.is_some();
+    if any && config.is_none() && std::env::var_os(CONFIG).is_none() {
         return Ok(());
     }
     let told = told(&path(config)?)?;
+    if let Some(path) = &files.cluster {
+        joining(path, &told.name, told.seed)?;
+    }
     let engines: usize =
         told.known.iter().filter_map(|event| event.list.as_ref()).map(|(_, list)| list.len()).sum();
     println!(
@@ -203,9 +242,9 @@
     };
     log_lines::start(form);
     let done = match command {
-        Command::Serve { config, service, teams, .. } => serve(config, service, teams),
-        Command::Check { config, service, teams } => check(config, service, teams),
-        Command::Status { address } => status::ask(address).map(|table| print!("{table}")),
+        Command::Serve { config, files, .. } => serve(config, files),
+        Command::Check { config, files } => check(config, files),
+        Command::Status { address, of } => status::ask(address, &of).map(|table| print!("{table}")),
         Command::Schema { of } => match of.as_str() {
             "service" => {
                 print!("{}", cleatgw_operator::schema());
@@ -215,7 +254,11 @@
                 print!("{}", cleatgw_operator::teams_schema());
                 Ok(())
             }
-            other => Err(format!("no file {other:?}: expected service or teams")),
+            "cluster" => {
+                print!("{}", cleatgw_operator::cluster_schema());
+                Ok(())
+            }
+            other => Err(format!("no file {other:?}: expected service, teams or cluster")),
         },
         Command::Version => {
             println!("cleatgw {}", env!("CARGO_PKG_VERSION"));
--- a/crates/router/src/routing/counters.rs
+++ b/crates/router/src/routing/counters.rs
@@ -85,6 +85,26 @@
     /// Within a fifth or 20 ms.
     waits_near,
     waits_unknown,
+    /// Datagrams of the cluster, and those dropped, by reason.
+    cluster_in,
+    cluster_out,
+    cluster_out_bytes,
+    cluster_unsent,
+    cluster_strangers,
+    cluster_too_long,
+    cluster_noise,
+    cluster_version,
+    cluster_other,
+    cluster_wrong_sender,
+    cluster_former_life,
+    cluster_body,
+    /// Suspicions of ours; others' of us that we refuted; lives that we had to begin anew; words that a router is down
+    /// while we heard it; turns that came far too late.
+    cluster_accusations,
+    cluster_refutations,
+    cluster_new_lives,
+    cluster_contradicted,
+    cluster_pauses,
     module_panics,
     panics,
     turns,
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -9,6 +9,7 @@
 use cleatgw::logic::Gateway;
 use cleatgw::queue::Wait;
 use cleatgw::{Deployment, Effect, Ending, Listing, Load, PushEnd, Stage, Taken, Writer};
+use cleatgw_members::digest::{EngineLife, Met, Said, Witness, Word};
 use cleatgw_operator::{TeamNames, TeamsFile};
 use cleatgw_start::{flat, index_of, name_hash, Names};
 pub use counters::Counters;
@@ -145,6 +146,8 @@
     untaken: VecDeque<SessionId>,
     /// Who shares the engines, and which line a name stands in.
     teams: Option<(TeamsFile, TeamNames)>,
+    /// What we meet of engines, where other routers are told of it.
+    witness: Option<Witness>,
     next_job: usize,
     next_engine: u64,
     stops_at: f64,
@@ -157,6 +160,12 @@
     time.max(0.0).to_bits()
 }
 
+/// An engine as routers tell each other of it: in the life that the list gives it.
+fn life(listing: &Listing) -> EngineLife {
+    let since = listing.since.unwrap_or(0.0).to_bits();
+    EngineLife { name: listing.name_hash, life: (since ^ (since >> 32)) as u32 }
+}
+
 fn ending(outcome: &Outcome) -> Ending {
     match outcome {
         Ok(Reply::Done { .. }) => Ending::Delivered,
@@ -380,6 +389,7 @@
             desk,
             untaken: VecDeque::new(),
             teams: None,
+            witness: None,
             next_job: 0,
             next_engine: 0,
             stops_at: f64::INFINITY,
@@ -451,6 +461,25 @@
         Some(rows)
     }
 
+    /// What we meet of engines is noted from now on, for other routers.
+    pub fn bear_witness(&mut self) {
+        self.witness.get_or_insert_default();
+    }
+
+    /// What we have met of engines of late.
+    pub fn words(&mut self) -> Vec<Word> {
+        let now = self.desk.now;
+        self.witness.as_mut().map(|witness| witness.words(now)).unwrap_or_default()
+    }
+
+    /// Hands the decisions what other routers say of each engine.
+    pub fn hear_peers(&mut self, said: impl Fn(&EngineLife) -> Said) {
+        for engine in &self.desk.engines {
+            let Said { good, bad, .. } = said(&life(&engine.listing));
+            self.gateway.peers_say(engine.listing.engine, good, bad);
+        }
+    }
+
     /// Engines that are ready and not in doubt.
     pub fn sound_engines(&self) -> usize {
         self.gateway.sound_engines()
@@ -614,6 +643,15 @@
         }
         let job_over = self.desk.jobs.get(&push.job).is_none_or(|job| matches!(job.state, JobState::Over));
         let load = Load::default();
+        if let (Some(witness), Some(engine)) = (&mut self.witness, self.desk.engines.get(engine)) {
+            let met = match ending {
+                Ending::Delivered => Some(Met::Delivered),
+                Ending::Erred | Ending::Broken | Ending::Unreached => Some(Met::Failed),
+                Ending::TimedOut => Some(Met::Unanswered),
+                Ending::Full | Ending::CalledOff | Ending::NeverSent => None,
+            };
+            met.into_iter().for_each(|met| witness.met(life(&engine.listing), met, self.desk.now));
+        }
         let end = PushEnd { job: push.job, engine, ending, job_over, spent, told, load };
         self.gateway.push_over(self.desk.now, &end);
         self.desk.forget_if_done(push.job);
--- a/crates/router/src/status.rs
+++ b/crates/router/src/status.rs
@@ -1,4 +1,4 @@
-//! Asks a running router, as a client does, how its service addresses stand.
+//! Asks a running router, as a client does, how its service addresses, its cluster or its teams stand.
 
 use crate::protocol::mysql;
 use std::io::{Read, Write};
@@ -35,8 +35,12 @@
     Some(value)
 }
 
-/// The table, a row a line.
-pub fn ask(address: SocketAddr) -> Result<String, String> {
+/// The table of what is asked for, a row a line.
+pub fn ask(address: SocketAddr, of: &str) -> Result<String, String> {
+    if !["announcements", "cluster", "teams"].contains(&of) {
+        return Err(format!("nothing is called {of:?}: expected announcements, cluster or teams"));
+    }
+    let question = format!("\x03SHOW {}", of.to_ascii_uppercase());
     let words = |error: std::io::Error| format!("{address}: {error}");
     let mut stream = TcpStream::connect_timeout(&address, PATIENCE).map_err(words)?;
     stream.set_read_timeout(Some(PATIENCE)).map_err(words)?;
@@ -46,7 +50,7 @@
     login.extend([0; 28]);
     login.extend(b"status\0\0\0");
     let mut out = Vec::new();
-    for (sequence, body) in [(1, &login[..]), (0, b"\x03SHOW ANNOUNCEMENTS")] {
+    for (sequence, body) in [(1, &login[..]), (0, question.as_bytes())] {
         out.extend(&(body.len() as u32).to_le_bytes()[..3]);
         out.push(sequence);
         out.extend(body);
--- /dev/null
+++ b/crates/router/src/transport/cluster.rs
@@ -0,0 +1,254 @@
+//! The cluster's socket: UDP datagrams to and from the other routers, around `cleatgw-members`. It decides nothing: it
+//! reads, hands over, sends what came of it, and says what changed.
+
+use super::{guarded, watch, Handle, Source};
+use crate::routing::Counters;
+use calloop::RegistrationToken;
+use cleatgw_members::digest::{EngineLife, Said, Word};
+use cleatgw_members::view::Standing;
+use cleatgw_members::wire::{Dropped, LONGEST};
+use cleatgw_members::Members;
+use cleatgw_operator::ClusterFile;
+use std::collections::HashMap;
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+
+/// Datagrams read in one turn; what is more waits for the next one, or is dropped by the system.
+const MOST_A_TURN: usize = 64;
+/// More may come of one turn only where many are to be told; the rest is not sent.
+const MOST_OUT: usize = 256;
+
+/// A cluster file, this router's place in it, and what lives and chance are drawn from.
+pub struct Joining {
+    pub file: ClusterFile,
+    pub place: usize,
+    /// Unix milliseconds.
+    pub born: u64,
+    pub seed: u64,
+}
+
+pub struct Cluster {
+    handle: Handle,
+    token: RegistrationToken,
+    socket: Rc<UdpSocket>,
+    file: ClusterFile,
+    members: Members,
+    place: usize,
+    by_address: HashMap<SocketAddr, usize>,
+    readable: bool,
+    standing: Standing,
+    /// From addresses that are no router's, or outside the networks.
+    strangers: u64,
+    unsent: u64,
+    /// What was counted before the file was last read.
+    before: Counters,
+}
+
+fn counted(members: &Members) -> Counters {
+    let counts = members.counts();
+    let dropped = |why: Dropped| counts.dropped.get(&why).copied().unwrap_or(0);
+    Counters {
+        cluster_in: counts.received,
+        cluster_out: counts.sent,
+        cluster_out_bytes: counts.sent_bytes,
+        cluster_too_long: dropped(Dropped::TooLong),
+        cluster_noise: dropped(Dropped::Noise),
+        cluster_version: dropped(Dropped::Version),
+        cluster_other: dropped(Dropped::OtherCluster),
+        cluster_wrong_sender: dropped(Dropped::WrongSender),
+        cluster_former_life: dropped(Dropped::FormerLife),
+        cluster_body: dropped(Dropped::Body),
+        cluster_accusations: counts.accusations,
+        cluster_refutations: counts.refutations,
+        cluster_new_lives: counts.new_lives,
+        cluster_contradicted: counts.contradicted,
+        cluster_pauses: counts.pauses,
+        ..Counters::default()
+    }
+}
+
+fn open(handle: &Handle, address: SocketAddr) -> io::Result<(RegistrationToken, Rc<UdpSocket>)> {
+    let socket = UdpSocket::bind(address)?;
+    socket.set_nonblocking(true)?;
+    let socket = Rc::new(socket);
+    Ok((watch(handle, socket.clone(), Source::Cluster)?, socket))
+}
+
+impl Cluster {
+    /// # Errors
+    /// Its address can't be listened on.
+    pub fn open(handle: &Handle, joining: Joining, now: f64) -> io::Result<Cluster> {
+        let Joining { file, place, born, seed } = joining;
+        let address = file.listen.unwrap_or(file.routers[place].address);
+        let (token, socket) = open(handle, address)?;
+        let members = Members::new(file.hash(), file.routers.len(), place, born, &file.pace(), seed, now);
+        let addresses = file.routers.iter().enumerate().filter(|(at, _)| *at != place);
+        let by_address = addresses.map(|(at, router)| (router.address, at)).collect();
+        log::info!(cluster = file.name.as_str(), routers = file.routers.len(), address:% = address;
+            "cluster {}: one of {} routers, hears on {address}", file.name, file.routers.len());
+        Ok(Cluster {
+            handle: handle.clone(),
+            token,
+            socket,
+            file,
+            members,
+            place,
+            by_address,
+            readable: false,
+            standing: Standing::JustStarted,
+            strangers: 0,
+            unsent: 0,
+            before: Counters::default(),
+        })
+    }
+
+    /// A new file. A list that is as it was changes only addresses and pace; another one is another cluster, which
+    /// this router enters in a new life.
+    pub fn change(&mut self, joining: Joining, now: f64) {
+        if joining.file == self.file {
+            return;
+        }
+        let born = joining.born.max(self.members.members()[self.place].born + 1);
+        let was = self.file.listen.unwrap_or(self.file.routers[self.place].address);
+        let is = joining.file.listen.unwrap_or(joining.file.routers[joining.place].address);
+        if was != is {
+            match open(&self.handle, is) {
+                Ok((token, socket)) => {
+                    self.handle.remove(std::mem::replace(&mut self.token, token));
+                    self.socket = socket;
+                }
+                Err(error) => {
+                    return log::warn!("the cluster file is not taken, the running one stands: {is}: {error}")
+                }
+            }
+        }
+        self.before.add(&counted(&self.members));
+        let Joining { file, place, seed, .. } = joining;
+        self.members = Members::new(file.hash(), file.routers.len(), place, born, &file.pace(), seed, now);
+        let addresses = file.routers.iter().enumerate().filter(|(at, _)| *at != place);
+        self.by_address = addresses.map(|(at, router)| (router.address, at)).collect();
+        log::info!(routers = file.routers.len(); "cluster file taken: {} routers", file.routers.len());
+        (self.file, self.place, self.standing) = (file, place, Standing::JustStarted);
+    }
+
+    /// Reads what has come, as far as one turn goes.
+    pub fn ready(&mut self, now: f64) {
+        self.readable = true;
+        let mut bytes = [0; LONGEST + 1];
+        for _ in 0..MOST_A_TURN {
+            let (length, from) = match self.socket.recv_from(&mut bytes) {
+                Ok(received) => received,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.readable = false;
+                    return;
+                }
+                // One of ours could not be delivered: the detector finds that out by itself.
+                Err(_) => continue,
+            };
+            let near = self.file.networks.iter().any(|network| network.contains(&from.ip()));
+            let Some(&router) = self.by_address.get(&from).filter(|_| near) else {
+                self.strangers += 1;
+                continue;
+            };
+            let members = &mut self.members;
+            if guarded("a datagram of the cluster", || members.datagram(router, &bytes[..length], now))
+                .is_none()
+            {
+                return;
+            }
+        }
+    }
+
+    /// More waits than one turn read.
+    pub fn unfinished(&self) -> bool {
+        self.readable
+    }
+
+    pub fn turn(&mut self, now: f64) {
+        self.members.turn(now);
+        for (to, bytes) in self.members.outgoing().into_iter().take(MOST_OUT) {
+            let to = self.file.routers[usize::from(to)].address;
+            self.unsent += u64::from(self.socket.send_to(&bytes, to).is_err());
+        }
+        for change in self.members.changes() {
+            let name = self.file.routers[change.router].name.as_str();
+            let (from, to) = (change.from.word(), change.to.word());
+            log::info!(router = name, from = from, to = to, born = change.born, heard_ago = change.heard_ago;
+                "router {name} is {to}, was {from}");
+        }
+        let standing = self.members.standing();
+        if std::mem::replace(&mut self.standing, standing) != standing {
+            let count = self.members.count(now);
+            let level = if self.members.allowed().warns { log::Level::Warn } else { log::Level::Info };
+            log::log!(level, standing = standing.word(), present = count.present, expected = count.expected;
+                "cluster: {}, {} of {} routers present", standing.word(), count.present, count.expected);
+        }
+    }
+
+    pub fn due(&self) -> f64 {
+        self.members.due()
+    }
+
+    pub fn leave(&mut self, now: f64) {
+        self.members.leave(now);
+        self.turn(now);
+    }
+
+    /// What this router has seen of engines, for others; nothing where the file says so.
+    pub fn tell(&mut self, words: Vec<Word>) {
+        if self.file.tell_of_engines {
+            self.members.tell(words);
+        }
+    }
+
+    /// What others say of an engine.
+    pub fn said(&self, engine: &EngineLife, now: f64) -> Said {
+        match self.file.tell_of_engines {
+            true => self.members.said(engine, now),
+            false => Said::default(),
+        }
+    }
+
+    pub fn counters(&self) -> Counters {
+        let mut counters = counted(&self.members);
+        counters.add(&self.before);
+        Counters { cluster_strangers: self.strangers, cluster_unsent: self.unsent, ..counters }
+    }
+
+    /// A row for the cluster and one for each router: what, its state, and on what evidence.
+    pub fn status(&self, now: f64) -> Vec<[String; 3]> {
+        let count = self.members.count(now);
+        let whole = format!(
+            "{} of {} present, {} count otherwise, own health {}",
+            count.present,
+            count.expected,
+            count.disagreeing,
+            self.members.health()
+        );
+        let name = format!("cluster {}", self.file.name);
+        let mut rows = vec![[name, self.members.standing().word().to_string(), whole]];
+        let ago = |at: f64| {
+            if at.is_finite() {
+                format!("{:.1} s ago", (now - at).max(0.0))
+            } else {
+                "never".to_string()
+            }
+        };
+        for (at, member) in self.members.members().iter().enumerate() {
+            let name = format!("router {}", self.file.routers[at].name);
+            let why = match at == self.place {
+                true => format!("this one, life {}", member.born),
+                false => format!(
+                    "since {}, life {}, heard {}, hears us {}",
+                    ago(member.since),
+                    member.born,
+                    ago(member.heard_at),
+                    ago(member.hears_us_at)
+                ),
+            };
+            rows.push([name, member.state.word().to_string(), why]);
+        }
+        rows
+    }
+}
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -3,6 +3,7 @@
 mod board;
 mod buffer;
 mod client;
+mod cluster;
 mod engine;
 mod links;
 mod sessions;
@@ -19,6 +20,8 @@
 use cleatgw_announce::{Readings, Recent};
 use cleatgw_operator::{ServiceFile, TeamsFile};
 use cleatgw_start::LinkLimits;
+use cluster::Cluster;
+pub use cluster::Joining;
 use links::Links;
 use rustix::io::Errno;
 use sessions::Sessions;
@@ -35,6 +38,8 @@
 const SWEEP: f64 = 0.05;
 /// The loop turns at least so often, so that it can tell when it had no turn.
 const BEAT: f64 = 0.02;
+/// Other routers are told of engines, and heard, so often.
+const WORDS: f64 = 0.25;
 /// After a planned stop, requests come for this long, and the router is killed so long after its longest job.
 const STILL_COMING: f64 = 0.75;
 const KILLED_AFTER: f64 = 0.7;
@@ -52,6 +57,8 @@
     /// A connection to a routing peer, and where such peers connect to.
     Speaker(u64),
     SpeakerListener,
+    /// The socket to other routers.
+    Cluster,
 }
 
 /// What has become ready since the last turn; the loop's callbacks only note it here.
@@ -137,6 +144,9 @@
     pub reread_service: Box<dyn Fn() -> Result<ServiceFile, String>>,
     /// Reads the teams file again; none where there are no teams.
     pub reread_teams: Option<Box<dyn Fn() -> Result<TeamsFile, String>>>,
+    /// The routers that know each other.
+    pub cluster: Option<Joining>,
+    pub reread_cluster: Box<dyn Fn() -> Result<Joining, String>>,
 }
 
 /// Reads the configuration again, or says why it can't be used.
@@ -198,6 +208,9 @@
     steady: Steady,
     reread_service: Box<dyn Fn() -> Result<ServiceFile, String>>,
     reread_teams: Option<Box<dyn Fn() -> Result<TeamsFile, String>>>,
+    cluster: Option<Cluster>,
+    words_at: f64,
+    reread_cluster: Box<dyn Fn() -> Result<Joining, String>>,
     /// Jobs answered in time of late, and when the decisions last failed.
     recent: Recent,
     failed: (u64, f64),
@@ -263,7 +276,8 @@
     let longest_job = place.longest_job.unwrap_or(LONGEST_GIVEN);
     let sessions = Sessions::open(&handle, place.listen, place.descriptors, place.memory)?;
     let links = Links::new(&handle, place.links, place.descriptors / 4);
-    let Operators { service, reread_service, reread_teams } = operators;
+    let Operators { service, reread_service, reread_teams, cluster, reread_cluster } = operators;
+    let cluster = cluster.map(|joining| Cluster::open(&handle, joining, 0.0)).transpose()?;
     let speaker = match service {
         None => None,
         Some((file, seed)) => Some(Speaker::open(&handle, file, seed, 0.0)?),
@@ -286,6 +300,9 @@
         steady: Steady(Instant::now()),
         reread_service,
         reread_teams,
+        cluster,
+        words_at: now,
+        reread_cluster,
         recent: Recent::default(),
         failed: (0, f64::NEG_INFINITY),
         counters: Counters::default(),
@@ -339,6 +356,10 @@
                     let steady = self.steady.read();
                     self.speaker.iter_mut().for_each(|one| one.accept(steady));
                 }
+                Source::Cluster => {
+                    let steady = self.steady.read();
+                    self.cluster.iter_mut().for_each(|one| one.ready(steady));
+                }
             }
         }
         // Last, as those that are closed for room must have nothing unread.
@@ -347,6 +368,7 @@
         }
         self.due(now);
         self.announce(now);
+        self.meet(now);
         let mut news = std::mem::take(&mut self.news);
         self.net.links.ended(&mut news.ends);
         self.net.sessions.kills(&mut news.withdrawn);
@@ -362,6 +384,7 @@
             let rows = match question {
                 Question::Announcements => self.speaker.as_ref().map(|one| one.status(self.steady.read())),
                 Question::Teams => self.routing.teams_status(),
+                Question::Cluster => self.cluster.as_ref().map(|one| one.status(self.steady.read())),
             };
             self.net.sessions.tell_how(question, rows.as_deref(), now);
         }
@@ -374,6 +397,7 @@
         self.again.extend(self.board.unfinished().then_some(Source::Board));
         self.again.extend(self.net.sessions.accepts_more().then_some(Source::Listener));
         self.again.extend(self.speaker.iter_mut().flat_map(Speaker::unfinished));
+        self.again.extend(self.cluster.iter().any(Cluster::unfinished).then_some(Source::Cluster));
         let spent = ((self.clock.read() - now) * 1e6) as u64;
         let counters = self.routing.counters();
         counters.turns += 1;
@@ -381,6 +405,7 @@
         counters.latest_wake_us = counters.latest_wake_us.max(overslept);
         let stop = self.stopping.map_or(f64::INFINITY, |(at, last)| if now < at { at } else { last });
         let speaker = self.speaker.as_ref().map_or(f64::INFINITY, Speaker::due);
+        let speaker = speaker.min(self.cluster.as_ref().map_or(f64::INFINITY, Cluster::due));
         let speaker = Steady::on_unix(speaker, self.steady.read(), now);
         let due = [wake, self.sweep_at, self.board.due(), self.net.links.due(), stop, speaker];
         let at_once = !self.again.is_empty() || self.net.links.has_ended();
@@ -393,6 +418,7 @@
         counters.add(&self.net.links.counters());
         counters.add(&self.board.counters);
         self.speaker.iter().for_each(|speaker| counters.add(&speaker.counters()));
+        self.cluster.iter().for_each(|cluster| counters.add(&cluster.counters()));
         counters.add(&self.counters);
         counters
     }
@@ -415,6 +441,8 @@
             if let Some(speaker) = &mut self.speaker {
                 speaker.drain(self.steady.read(), new_work);
             }
+            let steady = self.steady.read();
+            self.cluster.iter_mut().for_each(|one| one.leave(steady));
             self.stopping = Some((now + STILL_COMING, last));
         }
     }
@@ -443,6 +471,19 @@
         self.speaker = Some(speaker);
     }
 
+    /// The cluster's turn. What others say of engines is handed on as often as the decisions look at such things.
+    fn meet(&mut self, now: f64) {
+        let Some(cluster) = &mut self.cluster else { return };
+        let steady = self.steady.read();
+        if now >= self.words_at {
+            self.words_at = now + WORDS;
+            self.routing.bear_witness();
+            cluster.tell(self.routing.words());
+            self.routing.hear_peers(|engine| cluster.said(engine, steady));
+        }
+        cluster.turn(steady);
+    }
+
     fn new_operators_files(&mut self) {
         if let Some(reread) = &self.reread_teams {
             match reread() {
@@ -456,6 +497,15 @@
                 }
             }
         }
+        if let Some(cluster) = &mut self.cluster {
+            match (self.reread_cluster)() {
+                Ok(joining) => cluster.change(joining, self.steady.read()),
+                Err(why) => {
+                    self.counters.reloads_refused += 1;
+                    log::warn!("the cluster file is not taken, the running one stands: {why}");
+                }
+            }
+        }
         let Some(speaker) = &mut self.speaker else { return };
         match (self.reread_service)() {
             Ok(file) => speaker.change(file, self.steady.read()),
