--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -4,6 +4,7 @@
 use base64::{engine::general_purpose::STANDARD, Engine as _};
 use cleatgw::logic::Gateway;
 use cleatgw::{Ending, Listing, Load, Note, PushEnd, Stage, Taken, Writer};
+use cleatgw_members::digest::{self, EngineLife, Rounds, Said};
 use cleatgw_operator::{TeamNames, TeamsFile};
 use cleatgw_start::{self as start, name_hash, Complaint, Names, Pairs};
 use std::collections::HashMap;
@@ -56,6 +57,10 @@
     names: Names,
     ids: Ids,
     teams: Option<TeamNames>,
+    /// What instances tell each other of engines, where the deployment allows that, and which life each engine is in.
+    rounds: Option<Rounds>,
+    lives: Vec<EngineLife>,
+    hear_at: f64,
 }
 
 /// Encodes one instance's decisions as they are made.
@@ -150,6 +155,9 @@
     since: Option<f64>,
 }
 
+/// What others say of engines is handed to the decisions so often, in seconds.
+const HEARS: f64 = 0.25;
+
 /// All that one process holds.
 #[derive(Default)]
 pub struct Host {
@@ -164,6 +172,8 @@
     faults: String,
     /// Who shares the engines, where the operator says so.
     pub teams: Option<TeamsFile>,
+    /// Instances tell each other of engines, where the deployment allows that.
+    pub tells: bool,
 }
 
 impl Host {
@@ -225,7 +235,8 @@
         match message {
             "BEGIN" => {
                 let seed = fields.whole("entropy")?;
-                let read = start::read(&Pairs::from_words(fields.remainder()));
+                let pairs = Pairs::from_words(fields.remainder());
+                let read = start::read(&pairs);
                 let (deployment, names) =
                     read.map_err(|Complaint(words)| Complaint(format!("BEGIN: {words}")))?;
                 let mut gateway = Gateway::new(deployment, seed, self.now);
@@ -234,7 +245,12 @@
                     gateway.teams(self.now, line, &|_| 0);
                     teams
                 });
-                let instance = Instance { gateway, names, ids: Ids::default(), teams };
+                let talks = pairs.instances();
+                let talks = talks.map_err(|Complaint(words)| Complaint(format!("BEGIN: {words}")))?;
+                let rounds =
+                    talks.filter(|_| self.tells).map(|(me, all)| Rounds::new(me, all, seed, self.now));
+                let (ids, lives, hear_at) = Default::default();
+                let instance = Instance { gateway, names, ids, teams, rounds, lives, hear_at };
                 self.instances.insert(name.to_string(), instance);
             }
             "KILLED" => {
@@ -277,9 +293,14 @@
         let mut reply = String::new();
         for name in std::mem::take(&mut self.touched) {
             let Some(instance) = self.instances.get_mut(&name) else { continue };
+            let now = self.now;
+            instance.hear_peers(now);
+            let told = instance.tells(now);
             let (gateway, ids) = (&mut instance.gateway, &mut instance.ids);
             let mut pen = Pen { instance: &name, ids, reply: &mut reply };
-            let now = self.now;
+            if let Some((who, words)) = told {
+                who.iter().for_each(|peer| pen.tell(Some(usize::from(*peer)), &words));
+            }
             if let Err(panic) = catch_unwind(AssertUnwindSafe(|| gateway.round(now, &mut pen))) {
                 self.fault(&name, &*panic);
             }
@@ -384,11 +405,13 @@
                 read_load(&self.names.columns, row, fields).map(drop)
             }
             "PEER" => {
-                // Checked, and put to no use yet: the decisions rely on their own traffic alone.
-                fields.whole("author")?;
+                let author = u16::try_from(fields.whole("author")?).unwrap_or(u16::MAX);
                 let content = fields.text().unwrap_or("");
                 let decoded = STANDARD.decode(content);
-                decoded.map(drop).map_err(|_| fields.complain("content", "base64", content))
+                let bytes = decoded.map_err(|_| fields.complain("content", "base64", content))?;
+                // What is no digest is none of ours.
+                let _ = self.rounds.as_mut().and_then(|rounds| rounds.hear(author, &bytes, now));
+                Ok(())
             }
             "OPENED" => {
                 fields.whole("req")?;
@@ -434,10 +457,34 @@
                 stage: entry.stage,
             })
             .collect();
+        for listing in &listings {
+            let life = start::engine_life(listing);
+            self.lives.resize(self.lives.len().max(listing.engine + 1), life);
+            self.lives[listing.engine] = life;
+        }
         self.gateway.engines_listed(now, &listings, whole);
         Ok(())
     }
 
+    /// Who is to be told what of engines now.
+    fn tells(&mut self, now: f64) -> Option<(Vec<u16>, Vec<u8>)> {
+        let met = |at: usize| self.gateway.met(at);
+        let lives = self.lives.iter().enumerate();
+        self.rounds
+            .as_mut()?
+            .due(now, || digest::words(lives.filter_map(|(at, life)| Some((*life, met(at)?)))))
+    }
+
+    /// Hands the decisions what others say of each engine.
+    fn hear_peers(&mut self, now: f64) {
+        let Some(rounds) = self.rounds.as_ref().filter(|_| now >= self.hear_at) else { return };
+        self.hear_at = now + HEARS;
+        for (at, life) in self.lives.iter().enumerate() {
+            let Said { good, bad, .. } = rounds.said(life, now);
+            self.gateway.peers_say(at, good, bad);
+        }
+    }
+
     fn call(&mut self, now: f64, fields: &mut Fields) -> Result<(), Complaint> {
         let request = fields.whole("req")?;
         let cost = fields.maybe::<u64>("plan-cost-us", "a whole number")?;
@@ -569,6 +616,23 @@
         assert!(bad("SHEET 3 2").contains("2 more ENTRY lines"));
     }
 
+    #[test]
+    fn instances_tell_each_other_of_an_engine_that_failed_them_only_where_both_sides_allow_it() {
+        for (tells, peers, wanted) in [(true, 1, true), (false, 1, false), (true, 0, false)] {
+            let mut host = Host { tells, ..Host::default() };
+            let begin =
+                BEGIN.replace("balancers=1", "balancers=3 self-index=1") + &format!(" limits.peers={peers}");
+            let lines = ["MARK 1000000 1", &begin, "SHEET 0 1", "ENTRY - std a 10.0.0.1:1 Ready 0 1"];
+            feed(&mut host, &lines).unwrap();
+            let call = "CALL router_1 77 - - - look - 11 0 9000000";
+            feed(&mut host, &["BACKENDS_CHANGED router_1 0 disk 1", call, "EOB"]).unwrap();
+            let failed = "OUTCOME router_1 77 - 0 10.0.0.1:1 err 0 100000 -";
+            let reply = feed(&mut host, &["MARK 2000000 2", failed, "PEER router_1 2 AAAA", "EOB"]).unwrap();
+            assert_eq!(reply.contains("POST router_1 "), wanted, "{reply}");
+            assert!(!reply.contains("POST router_1 1 "), "not to itself: {reply}");
+        }
+    }
+
     #[test]
     fn settings_at_their_edges_are_no_cause_for_panic() {
         for settings in ["", "balancers=0", "shapes= zones= limits.max-attempts=0 rules.look-back-us=0"] {
--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -7,9 +7,9 @@
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
-fn serve(input: &mut dyn BufRead, output: &mut dyn Write, teams: Option<TeamsFile>) -> Result<(), String> {
+fn serve(input: &mut dyn BufRead, output: &mut dyn Write, told: Told) -> Result<(), String> {
     let mut host = host::Host::default();
-    host.teams = teams;
+    (host.teams, host.tells) = (told.teams, told.tells);
     let mut text = Vec::new();
     let mut number = 0;
     loop {
@@ -32,23 +32,33 @@
     Ok(())
 }
 
-/// The operator's teams, where `--teams FILE` names them.
-fn teams() -> Result<Option<TeamsFile>, String> {
+/// What the command line says: the operator's teams (`--teams FILE`), and that instances tell each other of engines where
+/// the deployment allows that (`--tell-of-engines`).
+#[derive(Default)]
+struct Told {
+    teams: Option<TeamsFile>,
+    tells: bool,
+}
+
+fn told() -> Result<Told, String> {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     match &arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
-        [] => Ok(None),
+        [] => Ok(Told::default()),
+        ["--tell-of-engines"] => Ok(Told { teams: None, tells: true }),
         ["--teams", path] => {
             let text = std::fs::read_to_string(path).map_err(|error| format!("{path}: {error}"))?;
-            cleatgw_operator::read_teams(&text).map(Some).map_err(|wrong| format!("{path}: {}", wrong.0))
+            let teams =
+                cleatgw_operator::read_teams(&text).map_err(|wrong| format!("{path}: {}", wrong.0))?;
+            Ok(Told { teams: Some(teams), tells: false })
         }
-        other => Err(format!("expected --teams FILE or nothing, got {}", other.join(" "))),
+        other => Err(format!("expected --teams FILE, --tell-of-engines or nothing, got {}", other.join(" "))),
     }
 }
 
 fn main() -> ExitCode {
     // A panic in the decisions goes out as the wire's fault report, not as a trace.
     std::panic::set_hook(Box::new(|_| {}));
-    let done = teams().and_then(|teams| serve(&mut io::stdin().lock(), &mut io::stdout().lock(), teams));
+    let done = told().and_then(|told| serve(&mut io::stdin().lock(), &mut io::stdout().lock(), told));
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(complaint) => {
--- a/crates/lab/src/cluster.rs
+++ b/crates/lab/src/cluster.rs
@@ -302,8 +302,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Tally {
     pub answered: u64,
-    /// Rows within a second, which is the expected time of this laboratory's jobs.
-    pub in_time: u64,
+    /// Rows so soon that no second push was needed: within three tenths of the expected time of a second.
+    pub at_once: u64,
 }
 
 impl Load {
@@ -337,7 +337,7 @@
         for thread in self.threads {
             let (answered, failures) = thread.join().expect("a client");
             jobs.answered += answered.answered;
-            jobs.in_time += answered.in_time;
+            jobs.at_once += answered.at_once;
             let owed = failures.into_iter().filter(|(router, from, to)| cluster.was_up(*router, *from, *to));
             unanswered += owed.count() as u64;
         }
@@ -375,7 +375,7 @@
                 break;
             };
             jobs.answered += 1;
-            jobs.in_time += u64::from(matches!(answer, Answered::Rows(_)) && now() - sent <= 1.0);
+            jobs.at_once += u64::from(matches!(answer, Answered::Rows(_)) && now() - sent <= 0.3);
             std::thread::sleep(Duration::from_secs_f64(1.0 / rate));
         }
     }
--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -61,7 +61,7 @@
             cluster.engines[sick].silent(false);
         }
         let (tally, unanswered) = load.tally(&cluster);
-        json!({"jobs": tally.answered, "late": tally.answered - tally.in_time, "unanswered": unanswered})
+        json!({"jobs": tally.answered, "needed_another_push": tally.answered - tally.at_once, "unanswered": unanswered})
     };
     json!({"routers": routers, "rate": rate, "seed": seed, "told": play(true), "untold": play(false)})
 }
--- a/crates/members/src/digest.rs
+++ b/crates/members/src/digest.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// A digest is no longer than this, in bytes.
 pub const LONGEST: usize = 256;
@@ -23,94 +24,23 @@
     pub life: u32,
 }
 
-/// What a router has seen of one engine of late, in its own traffic.
+/// What a router has met of one engine of late, in its own traffic: quarters of a push that went well, and that did not.
+/// It is as the router's decisions hold it, faded with age there.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Word {
     pub engine: EngineLife,
-    /// Pushes that failed, that got no answer in time, and that were delivered; at most 255.
-    pub failed: u8,
-    pub unanswered: u8,
-    pub delivered: u8,
-    /// How old the youngest of it is, in units of 50 ms.
-    pub age: u8,
+    pub good: u8,
+    pub bad: u8,
 }
 
-/// How a push that went out ended, for its engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Met {
-    Delivered,
-    /// It erred, broke off, or no connection came about.
-    Failed,
-    /// Its time ran out, or its client's.
-    Unanswered,
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-struct Counted {
-    failed: f64,
-    unanswered: f64,
-    delivered: f64,
-    at: f64,
-}
-
-/// What this router has met itself, in its own traffic of late: half of it is forgotten every [`Witness::HALF`] seconds.
-#[derive(Debug, Default)]
-pub struct Witness {
-    seen: BTreeMap<EngineLife, Counted>,
-    faded_at: f64,
-}
-
-impl Witness {
-    /// Seconds.
-    pub const HALF: f64 = 2.0;
-    /// Engines that are kept; of more, new ones are not noted.
-    const MOST: usize = 512;
-    /// What is left of a push that counts for nothing any more.
-    const NOTHING: f64 = 0.1;
-
-    pub fn met(&mut self, engine: EngineLife, met: Met, now: f64) {
-        self.fade(now);
-        if self.seen.len() >= Self::MOST && !self.seen.contains_key(&engine) {
-            return;
-        }
-        let counted = self.seen.entry(engine).or_default();
-        counted.at = now;
-        *match met {
-            Met::Delivered => &mut counted.delivered,
-            Met::Failed => &mut counted.failed,
-            Met::Unanswered => &mut counted.unanswered,
-        } += 1.0;
-    }
-
-    fn fade(&mut self, now: f64) {
-        let keep = 0.5_f64.powf((now - self.faded_at).max(0.0) / Self::HALF);
-        self.faded_at = self.faded_at.max(now);
-        self.seen.retain(|_, counted| {
-            counted.failed *= keep;
-            counted.unanswered *= keep;
-            counted.delivered *= keep;
-            counted.failed + counted.unanswered + counted.delivered > Self::NOTHING
-                && now < counted.at + LASTS
-        });
-    }
-
-    /// What is worth telling, the most trouble first.
-    pub fn words(&mut self, now: f64) -> Vec<Word> {
-        self.fade(now);
-        let mut seen: Vec<(&EngineLife, &Counted)> = self.seen.iter().collect();
-        seen.sort_by(|(_, one), (_, other)| {
-            let trouble = |counted: &Counted| counted.failed + counted.unanswered;
-            trouble(other).total_cmp(&trouble(one))
-        });
-        let words = seen.into_iter().take(MOST_WORDS).map(|(engine, counted)| Word {
-            engine: *engine,
-            failed: counted.failed.round().min(255.0) as u8,
-            unanswered: counted.unanswered.round().min(255.0) as u8,
-            delivered: counted.delivered.round().min(255.0) as u8,
-            age: ((now - counted.at) / 0.05).round().clamp(0.0, 255.0) as u8,
-        });
-        words.collect()
-    }
+/// What is worth telling of what was met, good and bad in pushes, the most trouble first.
+pub fn words(met: impl Iterator<Item = (EngineLife, (f64, f64))>) -> Vec<Word> {
+    let quarters = |pushes: f64| (pushes * 4.0).round().clamp(0.0, 255.0) as u8;
+    let word = |(engine, (good, bad))| Word { engine, good: quarters(good), bad: quarters(bad) };
+    let mut words: Vec<Word> = met.map(word).filter(|word| word.good > 0 || word.bad > 0).collect();
+    words.sort_by_key(|word| (std::cmp::Reverse(word.bad), word.engine));
+    words.truncate(MOST_WORDS);
+    words
 }
 
 /// The words that fit, the first ones first; all of one digest are of one moment.
@@ -162,13 +92,8 @@
         let kept = self.by_source.entry(source).or_default();
         kept.retain(|_, (at, _)| now < *at + LASTS);
         for word in words {
-            let at = now - f64::from(word.age) * 0.05;
-            if now >= at + LASTS || (kept.len() >= MOST_KEPT && !kept.contains_key(&word.engine)) {
-                continue;
-            }
-            // Words overtake each other on the way.
-            if kept.get(&word.engine).is_none_or(|(known, _)| at >= *known) {
-                kept.insert(word.engine, (at, word));
+            if kept.len() < MOST_KEPT || kept.contains_key(&word.engine) {
+                kept.insert(word.engine, (now, word));
             }
         }
     }
@@ -181,17 +106,12 @@
     /// What is said of an engine, by those that are witnesses. A life that is not this one is not spoken of.
     pub fn of(&self, engine: &EngineLife, now: f64, witness: impl Fn(u16) -> bool) -> Said {
         let mut said = Said::default();
-        for (source, words) in self.by_source.iter().filter(|(source, _)| witness(**source)) {
+        for (_, words) in self.by_source.iter().filter(|(source, _)| witness(**source)) {
             let Some((at, word)) = words.get(engine) else { continue };
             let fresh = 1.0 - (now - at) / LASTS;
-            let _ = source;
-            if fresh <= 0.0 {
-                continue;
-            }
-            let (bad, good) =
-                (f64::from(word.failed) + f64::from(word.unanswered), f64::from(word.delivered));
+            let (bad, good) = (f64::from(word.bad) / 4.0, f64::from(word.good) / 4.0);
             let all = bad + good;
-            if all == 0.0 {
+            if fresh <= 0.0 || all == 0.0 {
                 continue;
             }
             let weight = fresh * all.min(MOST_OF_ONE);
@@ -211,6 +131,63 @@
     }
 }
 
+/// Digests among many instances whose host only carries messages, as the simulator does: who is told is drawn by chance, a
+/// few a second, and only while there is trouble to tell of.
+#[derive(Debug)]
+pub struct Rounds {
+    heard: Heard,
+    me: u16,
+    instances: u64,
+    seed: u64,
+    draws: u64,
+    tell_at: f64,
+}
+
+impl Rounds {
+    /// Seconds between rounds, and how many are told in each.
+    const EVERY: f64 = 0.5;
+    const TOLD: usize = 2;
+
+    /// Instance `me` of so many.
+    pub fn new(me: u16, instances: u64, seed: u64, now: f64) -> Rounds {
+        Rounds { heard: Heard::default(), me, instances, seed, draws: 0, tell_at: now }
+    }
+
+    /// # Errors
+    /// None, where the bytes are no digest.
+    pub fn hear(&mut self, from: u16, bytes: &[u8], now: f64) -> Option<()> {
+        self.heard.hear(from, read(bytes)?, now);
+        Some(())
+    }
+
+    pub fn said(&self, engine: &EngineLife, now: f64) -> Said {
+        self.heard.of(engine, now, |_| true)
+    }
+
+    /// Who is told what now, where a round is due and there is something to tell.
+    pub fn due(&mut self, now: f64, words: impl FnOnce() -> Vec<Word>) -> Option<(Vec<u16>, Vec<u8>)> {
+        if now < self.tell_at || self.instances < 2 {
+            return None;
+        }
+        self.tell_at = now + Self::EVERY;
+        let mut words = words();
+        // Each message is paid for: nothing is told of engines that all is well with.
+        words.retain(|word| word.bad >= 4);
+        if words.is_empty() {
+            return None;
+        }
+        let told = (0..Self::TOLD).map(|_| {
+            self.draws += 1;
+            let mut hasher = DefaultHasher::new();
+            (self.seed, self.draws).hash(&mut hasher);
+            // Any but ourselves.
+            let other = hasher.finish() % (self.instances - 1);
+            (other + u64::from(other >= u64::from(self.me))) as u16
+        });
+        Some((told.collect(), write(&words)))
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -218,8 +195,9 @@
 
     const ENGINE: EngineLife = EngineLife { name: 7, life: 1 };
 
-    fn word(failed: u8, delivered: u8, age: u8) -> Word {
-        Word { engine: ENGINE, failed, unanswered: 0, delivered, age }
+    /// Whole pushes.
+    fn word(bad: u8, good: u8) -> Word {
+        Word { engine: ENGINE, good: good * 4, bad: bad * 4 }
     }
 
     fn all(_: u16) -> bool {
@@ -228,13 +206,7 @@
 
     #[test]
     fn the_longest_digest_fits_and_none_is_longer() {
-        let most = Word {
-            engine: EngineLife { name: u64::MAX, life: u32::MAX },
-            failed: 255,
-            unanswered: 255,
-            delivered: 255,
-            age: 255,
-        };
+        let most = Word { engine: EngineLife { name: u64::MAX, life: u32::MAX }, good: 255, bad: 255 };
         let bytes = write(&[most; 40]);
         assert!(bytes.len() <= LONGEST, "{}", bytes.len());
         assert!(read(&bytes).unwrap().len() >= 10);
@@ -248,22 +220,22 @@
     fn one_source_counts_once_however_often_it_says_so() {
         let mut heard = Heard::default();
         for _ in 0..50 {
-            heard.hear(3, vec![word(255, 0, 0)], 10.0);
+            heard.hear(3, vec![word(60, 0)], 10.0);
         }
         let said = heard.of(&ENGINE, 10.0, all);
         assert_eq!((said.ill_by, said.bad), (1, 1.0));
-        heard.hear(4, vec![word(2, 0, 0)], 10.0);
-        heard.hear(5, vec![word(0, 9, 0)], 10.0);
+        heard.hear(4, vec![word(2, 0)], 10.0);
+        heard.hear(5, vec![word(0, 9)], 10.0);
         let said = heard.of(&ENGINE, 10.0, all);
         assert_eq!((said.ill_by, said.well_by, said.bad, said.good), (2, 1, 2.0, 1.0));
     }
 
     #[test]
-    fn words_fade_and_what_overtakes_on_the_way_does_not_bring_old_ones_back() {
+    fn words_fade_and_the_youngest_of_a_source_stands() {
         let mut heard = Heard::default();
-        heard.hear(3, vec![word(0, 9, 0)], 10.0);
-        heard.hear(3, vec![word(9, 0, 40)], 10.1);
-        assert_eq!(heard.of(&ENGINE, 10.1, all).ill_by, 0, "two seconds old, and the other is new");
+        heard.hear(3, vec![word(9, 0)], 9.0);
+        heard.hear(3, vec![word(0, 9)], 10.0);
+        assert_eq!(heard.of(&ENGINE, 10.1, all).ill_by, 0);
         assert!(heard.of(&ENGINE, 12.0, all).good < 0.6);
         assert_eq!(heard.of(&ENGINE, 14.1, all), Said::default());
     }
@@ -271,7 +243,7 @@
     #[test]
     fn a_former_life_of_an_engine_and_a_witness_that_is_none_any_more_say_nothing() {
         let mut heard = Heard::default();
-        heard.hear(3, vec![word(9, 0, 0)], 10.0);
+        heard.hear(3, vec![word(9, 0)], 10.0);
         let replaced = EngineLife { life: 2, ..ENGINE };
         assert_eq!(heard.of(&replaced, 10.0, all), Said::default());
         assert_eq!(heard.of(&ENGINE, 10.0, |source| source != 3), Said::default());
@@ -280,26 +252,38 @@
     }
 
     #[test]
-    fn a_witness_tells_what_it_met_itself_the_most_trouble_first_until_it_is_old() {
-        let mut witness = Witness::default();
-        for name in 0..40 {
-            witness.met(EngineLife { name, life: 0 }, Met::Delivered, 10.0);
-        }
-        for met in [Met::Failed, Met::Failed, Met::Unanswered, Met::Delivered] {
-            witness.met(ENGINE, met, 10.0);
-        }
-        let words = witness.words(10.1);
+    fn the_most_trouble_is_told_first_and_nothing_of_what_was_not_met() {
+        let well = (0..40).map(|name| (EngineLife { name, life: 0 }, (3.0, 0.0)));
+        let ill = [(ENGINE, (0.5, 2.1)), (EngineLife { name: 99, life: 0 }, (0.01, 0.02))];
+        let words = words(well.chain(ill));
         assert_eq!(words.len(), MOST_WORDS);
-        assert_eq!(words[0], Word { engine: ENGINE, failed: 2, unanswered: 1, delivered: 1, age: 2 });
-        assert_eq!(witness.words(12.1)[0].failed, 1);
-        assert_eq!(witness.words(10.0 + LASTS + 0.1), []);
+        assert_eq!(words[0], Word { engine: ENGINE, good: 2, bad: 8 });
+        assert!(words.iter().all(|word| word.engine.name != 99));
+    }
+
+    #[test]
+    fn a_round_tells_some_others_of_trouble_and_nobody_of_none() {
+        let mut rounds = Rounds::new(3, 10, 1, 10.0);
+        assert_eq!(rounds.due(10.0, || vec![word(0, 9)]), None);
+        let mut told = Vec::new();
+        for step in 0..40 {
+            let (who, bytes) = rounds.due(10.6 + f64::from(step) * 0.6, || vec![word(2, 0)]).unwrap();
+            told.extend(who);
+            let mut other = Rounds::new(4, 10, 1, 10.0);
+            other.hear(3, &bytes, 10.7).unwrap();
+            assert_eq!(other.said(&ENGINE, 10.7).ill_by, 1);
+            assert_eq!(other.hear(3, &[255; 9], 10.7), None);
+        }
+        told.sort_unstable();
+        told.dedup();
+        assert_eq!(told, [0, 1, 2, 4, 5, 6, 7, 8, 9], "everybody but ourselves");
     }
 
     #[test]
     fn made_up_engines_cost_bounded_memory() {
         let mut heard = Heard::default();
         for name in 0..1000 {
-            let made_up = Word { engine: EngineLife { name, life: 0 }, ..word(1, 0, 0) };
+            let made_up = Word { engine: EngineLife { name, life: 0 }, ..word(1, 0) };
             heard.hear(3, vec![made_up], 10.0);
         }
         assert_eq!(heard.engines().count(), MOST_KEPT);
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -9,9 +9,9 @@
 use cleatgw::logic::Gateway;
 use cleatgw::queue::Wait;
 use cleatgw::{Deployment, Effect, Ending, Listing, Load, PushEnd, Stage, Taken, Writer};
-use cleatgw_members::digest::{EngineLife, Met, Said, Witness, Word};
+use cleatgw_members::digest::{self, EngineLife, Said, Word};
 use cleatgw_operator::{TeamNames, TeamsFile};
-use cleatgw_start::{flat, index_of, name_hash, Names};
+use cleatgw_start::{engine_life, flat, index_of, name_hash, Names};
 pub use counters::Counters;
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -146,8 +146,6 @@
     untaken: VecDeque<SessionId>,
     /// Who shares the engines, and which line a name stands in.
     teams: Option<(TeamsFile, TeamNames)>,
-    /// What we meet of engines, where other routers are told of it.
-    witness: Option<Witness>,
     next_job: usize,
     next_engine: u64,
     stops_at: f64,
@@ -160,12 +158,6 @@
     time.max(0.0).to_bits()
 }
 
-/// An engine as routers tell each other of it: in the life that the list gives it.
-fn life(listing: &Listing) -> EngineLife {
-    let since = listing.since.unwrap_or(0.0).to_bits();
-    EngineLife { name: listing.name_hash, life: (since ^ (since >> 32)) as u32 }
-}
-
 fn ending(outcome: &Outcome) -> Ending {
     match outcome {
         Ok(Reply::Done { .. }) => Ending::Delivered,
@@ -389,7 +381,6 @@
             desk,
             untaken: VecDeque::new(),
             teams: None,
-            witness: None,
             next_job: 0,
             next_engine: 0,
             stops_at: f64::INFINITY,
@@ -408,7 +399,7 @@
     }
 
     pub fn counters(&mut self) -> &mut Counters {
-        let waits = &self.gateway.line().waits;
+        let waits = &self.gateway.line.waits;
         self.desk.counters.waits_compared = waits.compared;
         self.desk.counters.waits_within_a_fifth = waits.within_a_fifth;
         self.desk.counters.waits_near = waits.near;
@@ -443,7 +434,7 @@
     pub fn teams_status(&self) -> Option<Vec<[String; 3]>> {
         const MOST: usize = 256;
         let (_, names) = self.teams.as_ref()?;
-        let line = self.gateway.line();
+        let line = &self.gateway.line;
         let (compared, unknown) = (line.waits.compared, line.waits.unknown);
         let share = line.waits.within_a_fifth as f64 / (compared as f64).max(1.0);
         let worth = format!("{compared} estimates compared, {unknown} jobs without one");
@@ -461,21 +452,16 @@
         Some(rows)
     }
 
-    /// What we meet of engines is noted from now on, for other routers.
-    pub fn bear_witness(&mut self) {
-        self.witness.get_or_insert_default();
-    }
-
-    /// What we have met of engines of late.
-    pub fn words(&mut self) -> Vec<Word> {
-        let now = self.desk.now;
-        self.witness.as_mut().map(|witness| witness.words(now)).unwrap_or_default()
+    /// What we have met of engines of late, for other routers.
+    pub fn words(&self) -> Vec<Word> {
+        let engines = self.desk.engines.iter().map(|engine| &engine.listing);
+        digest::words(engines.filter_map(|at| Some((engine_life(at), self.gateway.met(at.engine)?))))
     }
 
     /// Hands the decisions what other routers say of each engine.
     pub fn hear_peers(&mut self, said: impl Fn(&EngineLife) -> Said) {
         for engine in &self.desk.engines {
-            let Said { good, bad, .. } = said(&life(&engine.listing));
+            let Said { good, bad, .. } = said(&engine_life(&engine.listing));
             self.gateway.peers_say(engine.listing.engine, good, bad);
         }
     }
@@ -643,15 +629,6 @@
         }
         let job_over = self.desk.jobs.get(&push.job).is_none_or(|job| matches!(job.state, JobState::Over));
         let load = Load::default();
-        if let (Some(witness), Some(engine)) = (&mut self.witness, self.desk.engines.get(engine)) {
-            let met = match ending {
-                Ending::Delivered => Some(Met::Delivered),
-                Ending::Erred | Ending::Broken | Ending::Unreached => Some(Met::Failed),
-                Ending::TimedOut => Some(Met::Unanswered),
-                Ending::Full | Ending::CalledOff | Ending::NeverSent => None,
-            };
-            met.into_iter().for_each(|met| witness.met(life(&engine.listing), met, self.desk.now));
-        }
         let end = PushEnd { job: push.job, engine, ending, job_over, spent, told, load };
         self.gateway.push_over(self.desk.now, &end);
         self.desk.forget_if_done(push.job);
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -477,7 +477,6 @@
         let steady = self.steady.read();
         if now >= self.words_at {
             self.words_at = now + WORDS;
-            self.routing.bear_witness();
             cluster.tell(self.routing.words());
             self.routing.hear_peers(|engine| cluster.said(engine, steady));
         }
--- a/crates/router/tests/run_form.rs
+++ b/crates/router/tests/run_form.rs
@@ -32,8 +32,13 @@
         found.push(format!("{} threads", threads.len()));
     }
     for thread in &threads {
-        let children = process.join("task").join(thread.to_string()).join("children");
-        let children = fs::read_to_string(children).expect("a list of children");
+        let thread = process.join("task").join(thread.to_string());
+        let children = match fs::read_to_string(thread.join("children")) {
+            Ok(children) => children,
+            // A thread that has ended meanwhile has none.
+            Err(_) if !thread.exists() => continue,
+            Err(error) => panic!("no list of children: {error}"),
+        };
         found.extend(children.split_whitespace().map(|child| format!("process {child}")));
     }
     // By what it must not be: a TCP socket that is just made or closed stands in no table.
--- a/crates/start/src/lib.rs
+++ b/crates/start/src/lib.rs
@@ -1,10 +1,14 @@
 //! What a deployment states at the start: `path=value` pairs of the wire, or the same as nested JSON, read into
 //! what the decisions are told, the names behind the small indices, and what connections need to know.
 
+mod peers;
+
 use cleatgw::{Category, ColdStart, Deployment, Effect, Kind, PushBudget, Reach};
 use serde_json::Value;
 use std::collections::HashMap;
 
+pub use peers::engine_life;
+
 /// What was wrong with the input, in words for a person.
 #[derive(Debug, PartialEq)]
 pub struct Complaint(pub String);
@@ -114,6 +118,13 @@
             .collect()
     }
 
+    /// Which of how many instances this one is, where they may tell each other something.
+    pub fn instances(&self) -> Result<Option<(u16, u64)>, Complaint> {
+        let number = |path| self.number(path, 0.0).map(|number| number.clamp(0.0, 65_535.0));
+        let (me, all) = (number("self-index")?, number("balancers")?);
+        Ok(self.flag("limits.peers").then_some((me as u16, all as u64)))
+    }
+
     /// How long a client waits for a job at most.
     pub fn longest_job(&self) -> Result<Option<f64>, Complaint> {
         let longest = |at| self.time(&format!("categories.{at}.hard-limit-us"), 0.0);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -382,7 +382,7 @@
     /// Ready engines in each table group's hash order, kept until the list changes.
     orders: BTreeMap<u64, Rc<[usize]>>,
     jobs: BTreeMap<usize, Job>,
-    line: Line,
+    pub line: Line,
     /// Jobs that are held since this round began, and those whose push has just ended.
     fresh: Vec<usize>,
     /// With teams: a job whose turn came before found no room in this round.
@@ -520,10 +520,6 @@
         held.into_iter().for_each(|id| self.hold(now, id));
     }
 
-    pub fn line(&self) -> &Line {
-        &self.line
-    }
-
     fn hold(&mut self, now: f64, id: usize) {
         let Job { taken, density, work, since, pushes, .. } = &self.jobs[&id];
         let never_ran = pushes.iter().all(|push| push.never_ran);
@@ -538,6 +534,11 @@
         engine.doubt.told = Mean { sum: Doubt::WORD * good, weight: Doubt::WORD * (good + bad) };
     }
 
+    /// What we met of an engine ourselves of late, good and bad, for peers to be told.
+    pub fn met(&self, at: usize) -> Option<(f64, f64)> {
+        self.engines.get(at).map(|engine| engine.doubt.good).map(|own| (own.sum, own.weight - own.sum))
+    }
+
     /// Our instance drains: no job that is taken from the time that is returned on is pushed.
     pub fn drain(&mut self, now: f64) -> f64 {
         self.takes_until = self.takes_until.min(now + NEW_WORK);
@@ -674,8 +675,7 @@
     /// A push no longer counts on its engine.
     fn settle(&mut self, id: usize, index: usize) {
         let job = &self.jobs[&id];
-        let push = &job.pushes[index];
-        let category = &self.given.categories[job.taken.category];
+        let (push, category) = (&job.pushes[index], &self.given.categories[job.taken.category]);
         if let Some(engine) = self.engines.get_mut(push.engine) {
             (engine.threads, engine.pushes) = (engine.threads - category.threads, engine.pushes - 1);
             let held = engine.holding.iter().position(|&group| group == job.taken.table_group);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -949,9 +949,9 @@
     let gone: Vec<usize> =
         (0..40).map(|_| world.job(0, |job| (job.team, job.cost) = (1, Some(0.1)))).collect();
     world.round();
-    let waited = world.gateway.line().of(1).0;
+    let waited = world.gateway.line.of(1).0;
     gone.iter().for_each(|job| world.gateway.job_withdrawn(*job));
-    assert!(waited > 0 && world.gateway.line().is_empty(), "{waited}");
+    assert!(waited > 0 && world.gateway.line.is_empty(), "{waited}");
     // Its line has room again: none of those that come now is displaced.
     for _ in 0..40 {
         world.job(0, |job| (job.team, job.cost) = (1, Some(0.1)));
@@ -972,7 +972,7 @@
     assert!(before > 0 && before < 50);
     // The team is gone from the file: its jobs wait among the others, and none is lost.
     teams_moved(&mut world, [1.0, 1.0], 1000, 2);
-    assert_eq!((world.gateway.line().len(), world.gateway.line().of(2).2), (50 - before, before));
+    assert_eq!((world.gateway.line.len(), world.gateway.line.of(2).2), (50 - before, before));
     let first = *jobs.iter().find(|job| !world.engines_of(**job).is_empty()).unwrap();
     world.over(first, Ending::Delivered, 0.2);
     world.pass(0.05);
