--- a/crates/lab/src/cluster.rs
+++ b/crates/lab/src/cluster.rs
@@ -314,9 +314,14 @@
 
     /// The same for these routers alone.
     pub fn some(cluster: &Cluster, routers: &[usize], rate: f64) -> Load {
+        let addresses: Vec<_> = routers.iter().map(|&router| (router, cluster.address(router))).collect();
+        Load::at(&addresses, rate, cluster.relays.began)
+    }
+
+    /// One client for each of these, which are known by numbers.
+    pub fn at(addresses: &[(usize, SocketAddr)], rate: f64, began: Instant) -> Load {
         let over = Arc::new(AtomicBool::new(false));
-        let began = cluster.relays.began;
-        let clients = routers.iter().map(|&router| (router, cluster.address(router), over.clone()));
+        let clients = addresses.iter().map(|&(router, address)| (router, address, over.clone()));
         let client = |(router, address, over): (usize, SocketAddr, Arc<AtomicBool>)| {
             std::thread::spawn(move || ask(router, address, rate, began, &over))
         };
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -34,6 +34,12 @@
         plot: Option<PathBuf>,
         program: PathBuf,
     },
+    Cost {
+        routers: usize,
+        seed: u64,
+        pairs: usize,
+        program: PathBuf,
+    },
     Words {
         routers: usize,
         seed: u64,
@@ -127,7 +133,15 @@
     };
     let words = words.to_options().descr("What it is worth that routers tell each other of engines");
     let words = words.command("words");
-    construct!([drain, flap, fleet, members, words, teams, line])
+    let cost = {
+        let routers = long("routers").help("How many").argument::<usize>("N").fallback(9);
+        let pairs = long("pairs").help("How many pairs").argument::<usize>("N").fallback(4);
+        let (seed, program) = (seed(), program());
+        construct!(Command::Cost { routers, seed, pairs, program })
+    };
+    let cost =
+        cost.to_options().descr("Processor time a job with a cluster file and without").command("cost");
+    construct!([drain, flap, fleet, members, words, cost, teams, line])
         .to_options()
         .descr("The laboratory: loopback and virtual time only")
 }
@@ -147,6 +161,9 @@
         Command::Members { routers, seed, seconds, program, .. } => {
             members::measure(&program, routers.clamp(2, 20), seed, seconds.clamp(0.0, 600.0))
         }
+        Command::Cost { routers, seed, pairs, program } => {
+            members::cost(&program, routers.clamp(2, 20), seed, pairs.clamp(1, 50))
+        }
         Command::Words { routers, seed, rate, program } => {
             members::words(&program, routers.clamp(2, 20), seed, rate.clamp(0.1, 200.0))
         }
--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -1,7 +1,7 @@
 //! How well routers know each other under faults: real processes through relays, or the same code in virtual time.
 
 use crate::cluster::{Cluster, Load};
-use crate::standins::{counter, Client};
+use crate::standins::{counter, Client, Router};
 use crate::virtual_members::World;
 use crate::weather::{mixed, Act};
 use cleatgw_members::swim::{Defences, Pace};
@@ -46,6 +46,42 @@
     report
 }
 
+/// Processor time of a process so far, in clock ticks of a hundredth of a second.
+fn ticks(process: u32) -> u64 {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).unwrap_or_default();
+    let fields = stat.rsplit(')').next().unwrap_or("").split_whitespace();
+    fields.skip(11).take(2).filter_map(|field| field.parse::<u64>().ok()).sum()
+}
+
+/// Processor time a job of one router, in a cluster of so many and without a cluster file, in turn under the same load.
+pub fn cost(program: &Path, routers: usize, seed: u64, pairs: usize) -> Value {
+    let cluster = Cluster::start(program, routers, seed, &[]);
+    (0..routers).for_each(|router| cluster.stands(router, "whole"));
+    let gateways = format!("\"balancers\":{routers}");
+    let change = |text: String| text.replace(r#""balancers":1"#, &gateways);
+    let alone =
+        Router::changed(&program.to_string_lossy(), &cluster.board, 512, &["--log-format", "text"], change);
+    let one = |address, process| {
+        let load = Load::at(&[(0, address); 24], 1e6, cluster.relays.began);
+        std::thread::sleep(Duration::from_secs(1));
+        let (began, before) = (Client::at(address).map(|mut client| client.counters_now()), ticks(process));
+        std::thread::sleep(Duration::from_secs(4));
+        let (ended, after) = (Client::at(address).map(|mut client| client.counters_now()), ticks(process));
+        load.end(&cluster);
+        let delivered = |line: std::io::Result<String>| counter(&line.unwrap_or_default(), "delivered");
+        let jobs = delivered(ended) - delivered(began);
+        (jobs, (after - before) as f64 * 1e4 / jobs.max(1) as f64)
+    };
+    let rows: Vec<Value> = (0..pairs)
+        .map(|_| {
+            let (jobs_on, on) = one(cluster.address(0), cluster.router(0).process());
+            let (jobs_off, off) = one(alone.address, alone.process());
+            json!({"jobs_on": jobs_on, "us_on": on, "jobs_off": jobs_off, "us_off": off, "ratio": on / off})
+        })
+        .collect();
+    json!({"routers": routers, "seed": seed, "pairs": rows})
+}
+
 /// Thinly loaded routers and an engine that falls silent for a while, twice: with what they tell each other of engines,
 /// and without.
 pub fn words(program: &Path, routers: usize, seed: u64, rate: f64) -> Value {
--- a/crates/lab/src/standins.rs
+++ b/crates/lab/src/standins.rs
@@ -322,13 +322,12 @@
         std::fs::write(&file, text).unwrap();
         let arguments = if more.is_empty() { String::new() } else { format!("serve {}", more.join(" ")) };
         let limited = format!("ulimit -n {sockets}; exec {program} {arguments}");
+        // Where many jobs are expected, a line for each would be most of the work.
+        let busy = ["--teams", "--cluster", "text"].iter().any(|word| more.contains(word));
         let mut child = Command::new("sh")
             .args(["-c", &limited])
             .env("BALANCER_CONFIG", &file)
-            .env(
-                "RUST_LOG",
-                if more.contains(&"--teams") || more.contains(&"--cluster") { "info" } else { "debug" },
-            )
+            .env("RUST_LOG", if busy { "info" } else { "debug" })
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
