--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -53,22 +53,6 @@
         self.up[one] && self.up[other] && !self.cut[one][other] && !self.cut[other][one]
     }
 
-    /// Those that this one reaches, itself among them, by way of others too.
-    fn reaches(&self, from: usize) -> Vec<bool> {
-        let mut seen = vec![false; self.up.len()];
-        let mut queue = vec![from];
-        seen[from] = self.up[from];
-        while let Some(at) = queue.pop() {
-            for (next, seen) in seen.iter_mut().enumerate() {
-                if !*seen && self.linked(at, next) {
-                    *seen = true;
-                    queue.push(next);
-                }
-            }
-        }
-        seen
-    }
-
     /// It runs, and a majority of all hears it and is heard by it directly.
     fn sound(&self, router: usize) -> bool {
         let linked =
@@ -97,10 +81,6 @@
         after.checked_sub(1).map_or("unseen", |last| words[last].1.as_str())
     }
 
-    fn truth(&self, at: f64) -> &Truth {
-        self.truths.iter().rev().find(|truth| truth.at <= at).unwrap_or(&self.truths[0])
-    }
-
     /// Times from a router's end to each other running router's holding it failed, in milliseconds, and how many never did.
     pub fn detections(&self) -> (Histogram<u64>, u64) {
         let mut times = Histogram::new(3).expect("a histogram");
@@ -190,12 +170,6 @@
         Some((most * 1e3) as u64)
     }
 
-    /// Every router can be reached by every other in the end.
-    pub fn whole_in_the_end(&self) -> bool {
-        let truth = self.truth(self.end);
-        (0..truth.up.len()).filter(|at| truth.up[*at]).all(|at| truth.reaches(at) == truth.up)
-    }
-
     pub fn report(&self) -> Value {
         let (times, missed) = self.detections();
         json!({
--- a/crates/members/src/digest.rs
+++ b/crates/members/src/digest.rs
@@ -120,15 +120,6 @@
         }
         said
     }
-
-    /// Every engine that someone has told of.
-    pub fn engines(&self) -> impl Iterator<Item = EngineLife> + '_ {
-        let mut all: Vec<EngineLife> =
-            self.by_source.values().flat_map(|words| words.keys().copied()).collect();
-        all.sort_unstable();
-        all.dedup();
-        all.into_iter()
-    }
 }
 
 /// Digests among many instances whose host only carries messages, as the simulator does: who is told is drawn by chance, a
@@ -286,7 +277,7 @@
             let made_up = Word { engine: EngineLife { name, life: 0 }, ..word(1, 0) };
             heard.hear(3, vec![made_up], 10.0);
         }
-        assert_eq!(heard.engines().count(), MOST_KEPT);
+        assert_eq!(heard.by_source[&3].len(), MOST_KEPT);
     }
 
     proptest! {
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -18,7 +18,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 pub use swim::{Defences, YOUNGEST};
 use swim::{Life, Pace, Swim, Told};
-use view::{Allowed, Count, Standing, SETTLES};
+use view::{Allowed, Count, Standing};
 use wire::{Dropped, Envelope, Kind};
 
 /// More routers than this are no cluster of ours.
@@ -524,11 +524,6 @@
         self.heard.of(engine, now, |source| self.members[usize::from(source)].state.counts())
     }
 
-    /// Engines that anyone has told of.
-    pub fn spoken_of(&self) -> impl Iterator<Item = EngineLife> + '_ {
-        self.heard.engines()
-    }
-
     /// Asks for a lease where the view allows that; whether it came is seen by [`Members::holds`].
     pub fn ask(&mut self, thing: Thing, now: f64) {
         if self.allowed().asks_for_leases {
@@ -566,9 +561,4 @@
         let (refutations, new_lives, contradicted) = self.swim.counts();
         Counts { refutations, new_lives, contradicted, ..self.counts.clone() }
     }
-
-    /// How long after its start or a pause a router's view is worth something, in seconds.
-    pub const fn settles() -> f64 {
-        SETTLES
-    }
 }
