A client that closes has gone: its job is withdrawn in the turn that reads the end

Cause: Session::work noted the end of a client's stream (ended), but a session whose request was open was not at rest, so nothing became of it until its answer: Sessions::end was not reached and the module went on to push. Only a reset withdrew the job. The same for requests sent at once before the end, for an end behind bytes that the buffer had no room for, and for a kill whose target's query stood behind 16 other packets. Ruled out: the order of a turn (ends, new jobs, withdrawals, then the round) was right, and a kill read in the same turn as its query met it.

Change: a session whose client has ended withdraws its open job in the same turn; a request read together with the end is answered at once and handed to nobody; a full buffer asks for the hang-up with poll; a kill reads its target once more.

--- a/crates/lab/src/standins.rs
+++ b/crates/lab/src/standins.rs
@@ -361,9 +361,16 @@
         Router { address, log, reading, sockets, file, child }
     }
 
-    /// Stops the process, does this, and lets it go on after a while.
+    /// Stops the process, does this once it stands still, and lets it go on after a while.
     pub fn stop_for(&self, time: Duration, meanwhile: impl FnOnce()) {
         self.signal(Signal::STOP);
+        let stat = format!("/proc/{}/stat", self.process());
+        let stopped = || std::fs::read_to_string(&stat).is_ok_and(|text| text.contains(") T "));
+        let begun = Instant::now();
+        while !stopped() {
+            assert!(begun.elapsed() < GENEROUS, "it does not stop");
+            std::thread::yield_now();
+        }
         meanwhile();
         std::thread::sleep(time);
         self.signal(Signal::CONT);
--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -6,6 +6,7 @@
 use crate::protocol::statement::{self, Asked, Question, Request};
 use crate::routing::{Answer, SessionId};
 use calloop::RegistrationToken;
+use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io;
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
@@ -55,6 +56,7 @@
     sequence: u8,
     longest: usize,
     readable: bool,
+    /// Its client has gone: it sends nothing more, by an end of its stream or a hang-up.
     ended: bool,
     /// Whole packets may be left of what was read.
     cut_short: bool,
@@ -67,6 +69,14 @@
     begun_at: Option<f64>,
 }
 
+/// The client has closed its side or reset the connection, whatever is still unread of it.
+fn hung_up(stream: &TcpStream) -> bool {
+    let over = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    let mut asked = [PollFd::new(stream, PollFlags::RDHUP)];
+    let looked = poll(&mut asked, Some(&Timespec::default()));
+    looked.is_ok() && asked[0].revents().intersects(over)
+}
+
 fn random() -> [u8; 20] {
     use std::hash::{BuildHasher, RandomState};
     let mut scramble = [0; 20];
@@ -112,6 +122,12 @@
         self.state == State::Waiting
     }
 
+    /// Its client has closed: nothing more is begun for it. One that only closes its sending side counts as gone as
+    /// well, since the two look alike from here and no MySQL client half-closes; it is told that its query was killed.
+    pub fn gone(&self) -> bool {
+        self.ended
+    }
+
     /// No request is open on it, and nothing is left to write.
     fn at_rest(&self) -> bool {
         matches!(self.state, State::Login | State::Idle | State::Closing) && self.buffer.unsent() == 0
@@ -209,6 +225,10 @@
             });
             self.flush()?;
         }
+        // Behind bytes that the buffer has no room for, its end can't be read.
+        if self.readable && !self.ended && self.state == State::Waiting {
+            self.ended = hung_up(&self.stream);
+        }
         self.begun_at = match self.state {
             State::Idle if self.buffer.input().is_empty() || self.cut_short => None,
             State::Idle | State::Login | State::Closing => self.begun_at.or(Some(now)),
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -380,7 +380,7 @@
         self.come_back(now);
         let mut news = std::mem::take(&mut self.news);
         self.net.links.ended(&mut news.ends);
-        self.net.sessions.kills(&mut news.withdrawn);
+        self.net.sessions.kills(self.serving, now, &mut news);
         let (unusable, wake) = self.routing.turn(now, news, &mut self.net);
         for (session, why) in unusable {
             self.net.sessions.unusable(session, &why, now);
--- a/crates/router/src/transport/sessions.rs
+++ b/crates/router/src/transport/sessions.rs
@@ -161,6 +161,12 @@
         self.counters.sessions_malformed += u64::from(std::mem::take(&mut session.malformed));
         match worked {
             Some(Ok(None)) => {}
+            // Asked and left at once: nothing is begun for it.
+            Some(Ok(Some(Heard::Asked(_)))) if session.gone() => {
+                self.counters.taken += 1;
+                self.counters.withdrawn += 1;
+                self.answer(id, Answer::Withdrawn, now);
+            }
             Some(Ok(Some(Heard::Asked(request)))) => news.asked.push((id, request)),
             Some(Ok(Some(Heard::Unusable(why)))) => self.unusable(id, &why, now),
             Some(Ok(Some(Heard::Kill { session, query_only }))) => self.kills.push((id, session, query_only)),
@@ -175,8 +181,11 @@
                 closed = true;
             }
         }
+        let left = |session: &Session| session.gone() && session.waiting();
         if closed {
             self.end(id, news);
+        } else if self.sessions.get(&id).is_some_and(left) {
+            news.withdrawn.push(id);
         }
     }
 
@@ -187,9 +196,12 @@
         self.remove(id);
     }
 
-    /// Does what was asked of other sessions, once all that was ready has been read.
-    pub fn kills(&mut self, withdrawn: &mut Vec<SessionId>) {
+    /// Does what was asked of other sessions, once all that was ready has been read, and once more what their clients
+    /// sent before the kill: it may have come since, or wait for its turn.
+    pub fn kills(&mut self, serving: bool, now: f64, news: &mut News) {
         for (asker, id, query_only) in std::mem::take(&mut self.kills) {
+            self.work(id, Readiness { readable: true, ..Readiness::EMPTY }, serving, now, news);
+            let withdrawn = &mut news.withdrawn;
             let found = self.sessions.get_mut(&id).map(|session| {
                 withdrawn.extend(session.waiting().then_some(id));
                 if !query_only {
--- /dev/null
+++ b/crates/router/tests/crossings.rs
@@ -0,0 +1,152 @@
+//! Rare moments, each forced: a client that leaves, a kill, a signal or a close that comes between two things that the
+//! router does. The real program between stand-ins that hold what crosses until it is due.
+
+use cleatgw_lab::standins::*;
+use std::io::Write;
+use std::net::Shutdown;
+use std::time::Duration;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_cleatgw");
+
+/// A router whose board tells of no engine yet: what is asked waits.
+fn without_engines() -> (Board, Router) {
+    let board = Board::start();
+    board.tell(true, &[]);
+    let router = Router::with(PROGRAM, &board, 256, &[]);
+    (board, router)
+}
+
+fn with_engine(engine: &Engine) -> (Board, Router) {
+    let board = Board::start();
+    board.tell(true, &[engine.entry("ready")]);
+    let router = Router::with(PROGRAM, &board, 256, &[]);
+    (board, router)
+}
+
+fn row() -> Answered {
+    Answered::Rows(vec!["0,one,two".to_string()])
+}
+
+/// An engine comes, and one job more is asked: the statements that the engine has had by its answer.
+fn pushed_once_an_engine_comes(board: &Board, router: &Router) -> Vec<String> {
+    let engine = Engine::start("e");
+    board.tell(false, &[engine.entry("ready")]);
+    router.log.wait("is e at", 1);
+    assert_eq!(Client::new(router).ask(&job("look", 5000, "the last")), row());
+    let seen = engine.seen.all();
+    seen.iter().filter_map(|line| Some(line.strip_prefix("GET ")?.split_once(": ")?.1.to_string())).collect()
+}
+
+#[test]
+fn nothing_is_begun_for_a_client_that_closed_reset_or_half_closed_while_its_job_waited() {
+    let (board, router) = without_engines();
+    let mut closes = Client::new(&router);
+    closes.send(&job("look", 20000, "closed"));
+    let mut resets = Client::new(&router);
+    // An answer that it leaves unread makes its end a reset.
+    resets.stream.write_all(&packet(0, &[0x0e])).unwrap();
+    resets.send(&job("look", 20000, "reset"));
+    let mut half = Client::new(&router);
+    half.send(&job("look", 20000, "half-closed"));
+    let mut witness = Client::new(&router);
+    witness.counters("open", 3);
+    drop((closes, resets));
+    half.stream.shutdown(Shutdown::Write).unwrap();
+    assert!(matches!(half.answer(), Answered::Error(1317, _)), "one that still reads is told");
+    assert!(half.closed());
+    witness.counters("withdrawn", 3);
+    assert_eq!(pushed_once_an_engine_comes(&board, &router), ["the last"]);
+}
+
+#[test]
+fn what_a_client_sent_at_once_before_it_went_is_not_begun() {
+    let (board, router) = without_engines();
+    let many: Vec<u8> = (0..20).flat_map(|_| query(&job("look", 20000, "sent and gone"))).collect();
+    let mut half = Client::early(&router, &[login(), many.clone()].concat());
+    half.stream.shutdown(Shutdown::Write).unwrap();
+    assert_eq!(half.answer(), Answered::Ok);
+    (0..20).for_each(|_| assert!(matches!(half.answer(), Answered::Error(1317, _))));
+    assert!(half.closed());
+    drop(Client::early(&router, &[login(), many].concat()));
+    let mut witness = Client::new(&router);
+    let counters = witness.counters("sessions_open", 1);
+    assert_eq!(counter(&counters, "taken"), counter(&counters, "withdrawn"));
+    assert_eq!(pushed_once_an_engine_comes(&board, &router), ["the last"]);
+}
+
+#[test]
+fn an_end_behind_bytes_that_find_no_room_is_seen() {
+    let board = Board::start();
+    board.tell(true, &[]);
+    // So little memory that a session's buffer is the smallest there is: 16 KiB.
+    let small = |text: String| text.replace("\"memory_mb\":192", "\"memory_mb\":4");
+    let router = Router::changed(PROGRAM, &board, 256, &[], small);
+    let mut client = Client::new(&router);
+    client.send(&job("look", 20000, "hidden"));
+    let mut witness = Client::new(&router);
+    witness.counters("open", 1);
+    client.stream.write_all(&query(&job("look", 20000, "x")).repeat(200)).unwrap();
+    drop(client);
+    // Those behind it that are read before its end are begun no more than itself.
+    let counters = witness.counters("sessions_open", 1);
+    assert_eq!(counter(&counters, "taken"), counter(&counters, "withdrawn"));
+    assert_eq!(pushed_once_an_engine_comes(&board, &router), ["the last"]);
+}
+
+#[test]
+fn a_client_that_leaves_has_its_push_given_up_and_no_other_made() {
+    let engine = Engine::start("e");
+    let (_board, router) = with_engine(&engine);
+    let mut client = Client::new(&router);
+    client.send(&job("look", 20000, "hold"));
+    engine.seen.wait("GET", 1);
+    drop(client);
+    engine.seen.wait("DROP", 1);
+    let mut witness = Client::new(&router);
+    let counters = witness.counters("withdrawn", 1);
+    assert_eq!((counter(&counters, "pushes"), counter(&counters, "open")), (1, 0));
+}
+
+/// A kill and the query that it is meant for come in one turn, either of them first; the router stands still meanwhile.
+#[test]
+fn a_kill_meets_the_query_that_is_read_in_the_same_turn_whichever_came_first() {
+    let engine = Engine::start("e");
+    for kill_first in [false, true] {
+        let (_board, router) = with_engine(&engine);
+        let mut target = Client::new(&router);
+        let mut killer = Client::new(&router);
+        let kill = format!("KILL QUERY {}", target.session);
+        router.stop_for(Duration::ZERO, || {
+            if kill_first {
+                killer.send(&kill);
+                target.send(&job("look", 20000, "killed"));
+            } else {
+                target.send(&job("look", 20000, "killed"));
+                killer.send(&kill);
+            }
+        });
+        assert_eq!(killer.answer(), Answered::Ok);
+        assert!(matches!(target.answer(), Answered::Error(1317, _)));
+        assert_eq!(target.ask(&job("look", 5000, "x")), row());
+    }
+    assert!(!engine.seen.all().iter().any(|line| line.contains("killed")));
+}
+
+/// The query stands so far behind other packets that it is not read in the turn that reads its kill.
+#[test]
+fn a_kill_meets_a_query_that_waits_behind_other_packets() {
+    let engine = Engine::start("e");
+    let (_board, router) = with_engine(&engine);
+    let mut target = Client::new(&router);
+    let mut killer = Client::new(&router);
+    let pings = 20;
+    let sent = [packet(0, &[0x0e]).repeat(pings), query(&job("look", 20000, "killed"))].concat();
+    router.stop_for(Duration::ZERO, || {
+        target.stream.write_all(&sent).unwrap();
+        killer.send(&format!("KILL QUERY {}", target.session));
+    });
+    assert_eq!(killer.answer(), Answered::Ok);
+    (0..pings).for_each(|_| assert_eq!(target.answer(), Answered::Ok));
+    assert!(matches!(target.answer(), Answered::Error(1317, _)));
+    assert!(!engine.seen.all().iter().any(|line| line.contains("killed")));
+}
