Sessions end over no unread bytes, at the router's end and when closed for room

Cause, by reading and then by stories on sockets: - Server::stopped ended the process in the turn that answered the last job: queries sent behind it got no answer, and the close over unread bytes was a reset (crossings.rs: 20 queries behind a held one, all lost before). - Sessions::make_room closed the session idle for longest over a request that had come since it was read; the story holds the request back until all has been read (two of five stories of sessions/tests.rs fail without Session::quiet). - Sessions::accept made room before it knew that anybody waited, so that the router kept one session fewer than it may and closed an idle one for nobody (seen while writing the story above). - Session::idle left cut_short as it was: for the rest of that turn a session with a whole query behind the answered one passed for spare.

Change: at the end the listener closes, sessions at rest are half-closed and read on, and the process exits once they are closed, 0.1 s later at the latest (twice what a request may cross a close by); room is made for a connection that is there, and by a session that is quiet. Ruled out by stories that passed before: both signals in one turn, a stop before the first list, an engine hung through the stop.

--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -135,7 +135,26 @@
 
     /// It may be closed without loss: it is at rest, and no whole packet of a client's waits for its turn.
     pub fn spare(&self) -> bool {
-        self.at_rest() && (self.state != State::Idle || !self.cut_short)
+        self.at_rest() && (self.state == State::Closing || !self.cut_short)
+    }
+
+    /// Nothing has come since it was last read. What has is kept for its next turn: a close over it would be a reset, and
+    /// cost its client the request.
+    pub fn quiet(&mut self) -> bool {
+        let before = self.buffer.input().len();
+        match self.buffer.read(&*self.stream, self.longest + mysql::HEADER) {
+            Ok(reached) => (self.readable, self.ended) = (reached == Reached::More, reached == Reached::End),
+            Err(_) => return true,
+        }
+        self.cut_short |= self.buffer.input().len() > before;
+        self.state == State::Closing || !self.cut_short
+    }
+
+    /// Our side of it ends, so that its client reads the last answer and closes; what still comes is not taken any more.
+    pub fn farewell(&mut self) {
+        if self.state != State::Closing && self.spare() {
+            self.close_after();
+        }
     }
 
     pub fn unsent(&self) -> usize {
@@ -327,7 +346,8 @@
     }
 
     fn idle(&mut self, write: impl FnOnce(&mut Vec<u8>, &mut u8)) {
-        self.state = State::Idle;
+        // What came behind the request is still to be looked at.
+        (self.state, self.cut_short) = (State::Idle, !self.buffer.input().is_empty());
         self.send(write);
         if self.closes_after {
             self.close_after();
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -556,17 +556,22 @@
         }
     }
 
-    /// All jobs have their answers, or the time is over; then routing peers are told goodbye, those first that may
-    /// keep routes of ours, for as long as there is time.
+    /// All jobs have their answers, or the time is over; then clients and routing peers are told goodbye, those peers first
+    /// that may keep routes of ours, for as long as there is time.
     fn stopped(&mut self) -> bool {
         let Some((at, last)) = self.stopping else { return false };
         let now = self.net.now;
-        let done = self.routing.open() == 0 && self.net.sessions.unsent() == 0;
-        let late = now >= last + STOP_MARGIN / 2.0;
-        let Some(speaker) = &mut self.speaker else { return now >= at && done || late };
+        if now >= last + STOP_MARGIN / 2.0 {
+            return true;
+        }
         let steady = self.steady.read();
-        let ready = now >= at && done && (speaker.cleared(steady) || now >= last);
-        late || ready && speaker.farewell(steady)
+        let cleared = self.speaker.as_ref().is_none_or(|one| one.cleared(steady)) || now >= last;
+        if now < at || !cleared || self.routing.open() > 0 || self.net.sessions.busy() {
+            return false;
+        }
+        let closed = self.net.sessions.farewell(now);
+        let told = self.speaker.as_mut().is_none_or(|speaker| speaker.farewell(steady));
+        closed && told
     }
 
     fn board(&mut self, readable: bool, now: f64) {
--- a/crates/router/src/transport/sessions.rs
+++ b/crates/router/src/transport/sessions.rs
@@ -10,7 +10,7 @@
 use std::collections::HashMap;
 use std::hash::{BuildHasher, RandomState};
 use std::io::{self, ErrorKind};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -18,18 +18,25 @@
 const BIND: Duration = Duration::from_secs(5);
 /// So many connections are accepted in one turn.
 const ACCEPTED: usize = 64;
+/// So many are looked at for one to close for room.
+const LOOKED_AT: usize = 8;
+/// At the end of the router, clients have this long to read their last answer and close: longer than a request may cross
+/// a close and be asked elsewhere.
+const FAREWELL: f64 = 0.1;
 /// A statement may be as long as memory allows, between these.
 const LEAST: usize = 16 * 1024;
 const LONGEST: usize = 1024 * 1024;
 
 pub struct Sessions {
     handle: Handle,
-    listener: Rc<TcpListener>,
-    _token: RegistrationToken,
+    /// None once no more connections are taken.
+    listener: Option<(Rc<TcpListener>, RegistrationToken)>,
     sessions: HashMap<SessionId, Session>,
     most: usize,
     longest: usize,
-    next: SessionId,
+    /// Accepted, and waits for room.
+    next: Option<TcpStream>,
+    next_id: SessionId,
     /// Connections may be waiting to be accepted; none is until the next sweep, after one could not be.
     accepts: bool,
     paused: bool,
@@ -38,6 +45,8 @@
     kills: Vec<(SessionId, SessionId, bool)>,
     /// Those that asked for the counters.
     pub curious: Vec<SessionId>,
+    /// When our side of the sessions began to be ended.
+    farewell_at: Option<f64>,
     /// Those that asked how something stands.
     asking: Vec<(SessionId, Question)>,
     counters: Counters,
@@ -66,14 +75,15 @@
         log::info!("listens on {listen}");
         let most = (descriptors / 2).max(1);
         Ok(Sessions {
-            _token: watch(handle, listener.clone(), Source::Listener)?,
+            listener: Some((listener.clone(), watch(handle, listener, Source::Listener)?)),
             handle: handle.clone(),
-            listener,
+            farewell_at: None,
             sessions: HashMap::new(),
             most,
             longest: (memory / 4 / most).clamp(LEAST, LONGEST),
             // A kill meant for a session of the router before us must not meet one of ours.
-            next: RandomState::new().hash_one(listen) as SessionId,
+            next: None,
+            next_id: RandomState::new().hash_one(listen) as SessionId,
             accepts: false,
             paused: false,
             again: Vec::new(),
@@ -87,11 +97,21 @@
     pub fn accept(&mut self, now: f64) {
         self.accepts = true;
         for _ in 0..ACCEPTED {
-            if self.paused || self.sessions.len() >= self.most && !self.make_room(now) {
+            let Some((listener, _)) = self.listener.clone() else { return };
+            if self.paused {
                 return;
             }
-            match self.listener.accept() {
-                Ok((stream, _)) => {
+            // Room is made for one that is there, not for one that may come.
+            let next = match self.next.take() {
+                Some(stream) => Ok(stream),
+                None => listener.accept().map(|(stream, _)| stream),
+            };
+            match next {
+                Ok(stream) if self.sessions.len() >= self.most && !self.make_room(now) => {
+                    self.next = Some(stream);
+                    return;
+                }
+                Ok(stream) => {
                     if let Err(error) = self.begin(stream, now) {
                         log::debug!("a session that did not begin: {error}");
                     }
@@ -113,15 +133,15 @@
         }
     }
 
-    fn begin(&mut self, stream: std::net::TcpStream, now: f64) -> io::Result<()> {
+    fn begin(&mut self, stream: TcpStream, now: f64) -> io::Result<()> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         let stream = Rc::new(stream);
-        while self.next == 0 || self.sessions.contains_key(&self.next) {
-            self.next = self.next.wrapping_add(1);
+        while self.next_id == 0 || self.sessions.contains_key(&self.next_id) {
+            self.next_id = self.next_id.wrapping_add(1);
         }
-        let id = self.next;
-        self.next = self.next.wrapping_add(1);
+        let id = self.next_id;
+        self.next_id = self.next_id.wrapping_add(1);
         let token = watch(&self.handle, stream.clone(), Source::Session(id))?;
         self.sessions.insert(id, Session::new(token, id, stream, self.longest, now));
         self.counters.sessions += 1;
@@ -131,15 +151,38 @@
 
     /// Closes the session that has been idle for longest; none may be.
     fn make_room(&mut self, now: f64) -> bool {
-        let spare = self.sessions.iter().filter(|(_, session)| session.spare());
-        let least = spare.min_by(|a, b| {
-            let (a, b) = (a.1.worth(now), b.1.worth(now));
-            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
-        });
-        let Some(id) = least.map(|(&id, _)| id) else { return false };
-        self.counters.sessions_closed_for_room += 1;
-        self.remove(id);
-        true
+        for _ in 0..LOOKED_AT {
+            let spare = self.sessions.iter_mut().filter(|(_, session)| session.spare());
+            let least = spare.min_by(|a, b| {
+                let (a, b) = (a.1.worth(now), b.1.worth(now));
+                a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+            });
+            let Some((&id, session)) = least else { return false };
+            if session.quiet() {
+                self.counters.sessions_closed_for_room += 1;
+                self.remove(id);
+                return true;
+            }
+            self.again.push(id);
+        }
+        false
+    }
+
+    /// The router ends: no connection is taken any more, and every session at rest is ended on our side. True once all
+    /// clients have closed theirs, or have had the time to.
+    pub fn farewell(&mut self, now: f64) -> bool {
+        if let Some((_, token)) = self.listener.take() {
+            self.handle.remove(token);
+        }
+        let begun = *self.farewell_at.get_or_insert(now);
+        self.sessions.values_mut().for_each(Session::farewell);
+        self.again.extend(self.sessions.keys());
+        self.sessions.is_empty() || now >= begun + FAREWELL
+    }
+
+    /// A connection is still to be accepted, or an answer to be written.
+    pub fn busy(&self) -> bool {
+        self.accepts_more() || self.sessions.values().any(|session| session.unsent() > 0)
     }
 
     fn remove(&mut self, id: SessionId) {
@@ -306,10 +349,6 @@
             && (self.sessions.len() < self.most || self.sessions.values().any(Session::spare))
     }
 
-    pub fn unsent(&self) -> usize {
-        self.sessions.values().map(Session::unsent).sum()
-    }
-
     pub fn all(&self) -> impl Iterator<Item = Source> + '_ {
         self.sessions.keys().map(|&id| Source::Session(id))
     }
@@ -323,3 +362,6 @@
         Counters { sessions_open: self.sessions.len() as u64, ..self.counters.clone() }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/router/src/transport/sessions/tests.rs
@@ -0,0 +1,149 @@
+use super::*;
+use calloop::EventLoop;
+use cleatgw_lab::standins::{job, login, packet, query};
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
+
+const READABLE: Readiness = Readiness { readable: true, ..Readiness::EMPTY };
+
+/// The listener and its sessions on real sockets, whose turns and clock the story drives.
+struct Story {
+    _turns: EventLoop<'static, super::super::Ready>,
+    sessions: Sessions,
+    address: SocketAddr,
+    now: f64,
+    news: News,
+}
+
+impl Story {
+    /// With room for so many sessions.
+    fn new(most: usize) -> Story {
+        let turns = EventLoop::try_new().unwrap();
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let sessions = Sessions::open(&turns.handle(), any, 2 * most, 1 << 20).unwrap();
+        let address = sessions.listener.as_ref().unwrap().0.local_addr().unwrap();
+        Story { _turns: turns, sessions, address, now: 100.0, news: News::default() }
+    }
+
+    /// Every session reads what has come and takes what it can.
+    fn turn(&mut self) {
+        for id in self.sessions.sessions.keys().copied().collect::<Vec<_>>() {
+            self.sessions.work(id, READABLE, true, self.now, &mut self.news);
+        }
+    }
+
+    /// Turns until so many bytes have come, or the end or an error.
+    fn hears(&mut self, far: &mut TcpStream, length: usize) -> std::io::Result<Vec<u8>> {
+        far.set_read_timeout(Some(std::time::Duration::from_millis(5))).unwrap();
+        let mut heard = Vec::new();
+        for _ in 0..2000 {
+            self.turn();
+            let mut bytes = vec![0; length - heard.len()];
+            match far.read(&mut bytes) {
+                Ok(0) => return Ok(heard),
+                Ok(read) => heard.extend(&bytes[..read]),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) => return Err(error),
+            }
+            if heard.len() == length {
+                return Ok(heard);
+            }
+        }
+        panic!("{length} bytes were awaited, {} came", heard.len());
+    }
+
+    /// One that is accepted and logged in, and its session.
+    fn client(&mut self) -> (TcpStream, SessionId) {
+        let mut far = TcpStream::connect(self.address).unwrap();
+        far.set_nodelay(true).unwrap();
+        let before: Vec<SessionId> = self.sessions.sessions.keys().copied().collect();
+        self.sessions.accept(self.now);
+        let id = self.sessions.sessions.keys().copied().find(|id| !before.contains(id)).unwrap();
+        far.write_all(&login()).unwrap();
+        let header = self.hears(&mut far, 4).unwrap();
+        let greeting = usize::from(header[0]);
+        self.hears(&mut far, greeting + 4 + 7).unwrap();
+        (far, id)
+    }
+}
+
+#[test]
+fn a_session_whose_request_has_just_come_is_not_closed_for_room() {
+    let mut story = Story::new(2);
+    let (mut asks, asking) = story.client();
+    let (_rests, resting) = story.client();
+    story.now += 1.0;
+    // The session idle for longest has a request that came after all had been read.
+    story.sessions.sessions.get_mut(&asking).unwrap().since = 99.0;
+    asks.write_all(&query(&job("look", 5000, "x"))).unwrap();
+    let _third = TcpStream::connect(story.address).unwrap();
+    story.sessions.accept(story.now);
+    let open = |id: &SessionId| story.sessions.sessions.contains_key(id);
+    assert_eq!((open(&asking), open(&resting)), (true, false));
+    story.turn();
+    assert_eq!(story.news.asked.iter().map(|(id, _)| *id).collect::<Vec<_>>(), [asking]);
+}
+
+#[test]
+fn where_all_have_just_asked_none_is_closed_and_the_newcomer_waits() {
+    let mut story = Story::new(2);
+    let (mut one, _) = story.client();
+    let (mut other, _) = story.client();
+    story.now += 1.0;
+    one.write_all(&query(&job("look", 5000, "x"))).unwrap();
+    other.write_all(&packet(0, &[0x0e])).unwrap();
+    let _third = TcpStream::connect(story.address).unwrap();
+    story.sessions.accept(story.now);
+    assert_eq!((story.sessions.sessions.len(), story.sessions.takes()), (2, false));
+    // The one that only said something may go once it has its answer.
+    assert_eq!(story.hears(&mut other, 11).unwrap().len(), 11);
+    story.sessions.accept(story.now);
+    assert_eq!((story.sessions.sessions.len(), story.sessions.counters.sessions_closed_for_room), (2, 1));
+    assert_eq!(story.news.asked.len(), 1);
+}
+
+/// The page's words: what is read after the shutdown and sent on is lost, and a close over unread bytes is a reset.
+#[test]
+fn at_the_end_a_request_that_crosses_the_shutdown_is_neither_begun_nor_reset() {
+    let mut story = Story::new(8);
+    let (mut crosses, _) = story.client();
+    let (rests, _) = story.client();
+    assert!(!story.sessions.farewell(story.now));
+    crosses.write_all(&query(&job("look", 5000, "x"))).unwrap();
+    assert!(story.hears(&mut crosses, 1).unwrap().is_empty(), "an end, and no error");
+    assert!(story.news.asked.is_empty());
+    assert!(TcpStream::connect(story.address).is_err(), "nobody else is let in");
+    drop((crosses, rests));
+    while !story.sessions.sessions.is_empty() {
+        story.turn();
+    }
+    assert!(story.sessions.farewell(story.now), "all have gone, there is nothing to wait for");
+}
+
+#[test]
+fn at_the_end_a_request_that_came_before_the_shutdown_is_taken_and_a_deaf_client_holds_up_nothing() {
+    let mut story = Story::new(8);
+    let (mut asks, id) = story.client();
+    let (_deaf, _) = story.client();
+    // Two at once: the second is still to be taken when the first has its answer.
+    asks.write_all(&query(&job("look", 5000, "x")).repeat(2)).unwrap();
+    story.turn();
+    assert_eq!(story.news.asked.len(), 1);
+    assert!(!story.sessions.farewell(story.now));
+    story.sessions.answer(id, Answer::Terminated, story.now);
+    assert!(!story.sessions.farewell(story.now));
+    story.turn();
+    assert_eq!(story.news.asked.len(), 2);
+    story.sessions.answer(id, Answer::Terminated, story.now);
+    assert!(!story.sessions.farewell(story.now + 0.05));
+    assert!(story.sessions.farewell(story.now + 0.11));
+    asks.shutdown(Shutdown::Both).unwrap();
+}
+#[test]
+fn nobody_is_closed_for_room_while_no_connection_waits() {
+    let mut story = Story::new(2);
+    let (_one, _) = story.client();
+    let (_other, _) = story.client();
+    story.sessions.accept(story.now);
+    assert_eq!((story.sessions.sessions.len(), story.sessions.counters.sessions_closed_for_room), (2, 0));
+}
--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -2,9 +2,9 @@
 //! router does. The real program between stand-ins that hold what crosses until it is due.
 
 use cleatgw_lab::standins::*;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::Shutdown;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_cleatgw");
 
@@ -150,3 +150,93 @@
     assert!(matches!(target.answer(), Answered::Error(1317, _)));
     assert!(!engine.seen.all().iter().any(|line| line.contains("killed")));
 }
+
+/// One whose jobs last half a second at most, so that its planned stop is soon over.
+fn quick(engine: &Engine) -> (Board, Router) {
+    let board = Board::start();
+    board.tell(true, &[engine.entry("ready")]);
+    let shorter = |text: String| text.replace("\"hard-limit-us\":20000000", "\"hard-limit-us\":500000");
+    let router = Router::changed(PROGRAM, &board, 256, &[], shorter);
+    (board, router)
+}
+
+#[test]
+fn a_planned_stop_answers_what_waits_behind_the_last_job_and_ends_every_session_in_order() {
+    let engine = Engine::start("e");
+    let (_board, mut router) = quick(&engine);
+    let mut rests = Client::new(&router);
+    let mut asks = Client::new(&router);
+    let behind = 20;
+    let jobs: Vec<u8> = (0..=behind).flat_map(|_| query(&job("look", 500, "hold"))).collect();
+    asks.stream.write_all(&jobs).unwrap();
+    engine.seen.wait("GET", 1);
+    router.terminate();
+    for at in 0..=behind {
+        let answer = asks.try_answer();
+        assert!(matches!(answer, Some(Answered::Error(1040, _))), "{at}: {answer:?}");
+    }
+    // An end, and no reset.
+    let mut byte = [0];
+    assert_eq!(rests.stream.read(&mut byte).unwrap(), 0);
+    assert_eq!(asks.stream.read(&mut byte).unwrap(), 0);
+    drop((rests, asks));
+    let (code, counters) = router.ended();
+    assert_eq!((code, counter(&counters, "open")), (Some(0), 0));
+}
+
+/// Two signals in one turn, with an answer of the engine's and a new client's request.
+#[test]
+fn a_stop_and_a_new_configuration_in_one_turn_lose_nothing() {
+    let engine = Engine::start("e");
+    let (board, mut router) = quick(&engine);
+    let mut asks = Client::new(&router);
+    let text = router.configuration(&board, "{\"rev\":1,\"notices\":[]}");
+    router.stop_for(Duration::ZERO, || {
+        router.terminate();
+        router.reload(&text);
+        router.terminate();
+        asks.send(&job("look", 500, "x"));
+    });
+    assert_eq!(asks.answer(), row());
+    let (code, counters) = router.ended();
+    assert_eq!((code, counter(&counters, "reloads"), counter(&counters, "open")), (Some(0), 1, 0));
+    assert_eq!((counter(&counters, "taken"), counter(&counters, "delivered")), (1, 1));
+}
+
+#[test]
+fn a_stop_before_the_first_list_answers_what_waits() {
+    let board = Board::start();
+    let shorter = |text: String| text.replace("\"hard-limit-us\":20000000", "\"hard-limit-us\":500000");
+    let mut router = Router::changed(PROGRAM, &board, 256, &[], shorter);
+    let mut pings = Client::new(&router);
+    pings.stream.write_all(&packet(0, &[0x0e])).unwrap();
+    let mut asks = Client::new(&router);
+    asks.send(&job("once", 500, "x"));
+    Client::new(&router).counters("open", 1);
+    router.terminate();
+    assert!(matches!(asks.answer(), Answered::Error(1040, _)));
+    assert!(pings.closed());
+    drop((pings, asks));
+    let (code, counters) = router.ended();
+    assert_eq!((code, counter(&counters, "turned_back"), counter(&counters, "open")), (Some(0), 1, 0));
+}
+
+/// The engine hangs from before the stop until after it, under a job longer than what is left.
+#[test]
+fn an_engine_that_hangs_through_the_whole_stop_costs_no_answer() {
+    let engine = Engine::start("e");
+    let (_board, mut router) = quick(&engine);
+    let mut clients: Vec<Client> = (0..3).map(|_| Client::new(&router)).collect();
+    for (client, category) in clients.iter_mut().zip(["look", "load", "once"]) {
+        client.send(&job(category, 500, "hold"));
+    }
+    engine.seen.wait("GET", 3);
+    let begun = Instant::now();
+    router.terminate();
+    assert!(matches!(clients[0].answer(), Answered::Error(1040, _)));
+    assert!(matches!(clients[1].answer(), Answered::Error(1040, _)));
+    assert!(matches!(clients[2].answer(), Answered::Error(1105, _)), "it may have run");
+    drop(clients);
+    assert_eq!(router.ended().0, Some(0));
+    assert!(begun.elapsed() < GENEROUS / 2);
+}
