Nothing leaves late: windows, drains and second copies hold at the moment of the write

Three crossings on connections to engines, each found by reading and shown by a story that fails without its mend: - A repeat of a receipted job was checked against its window when it was decided (can_never_push, now < sent + window) and could then wait in Link::waiting for a connection for up to connect_time_out: it left after the window, where engines run it again. The module now tells by when a push must have left (Writer::push, leave_by; 20 ms before the window's end, for the way there), and a link lets go what can't leave by then. Decisions and connections that come up use the clock as it is then, not the turn's start. A story of the module forces the edge, one of Links the late connection. - After WAIT, BROKE or PAST a connection took the same id again at once. The second copy of such an answer that comes late passed for an answer to the job's next push: a proof that nothing ran while it runs (an unsafe job would run twice, a pure one be out twice). Ruled out: an answer and a time-out in one turn (ends go first, and may_push sees the push out until its end).

--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -87,7 +87,8 @@
         write_line(self.reply, format_args!("PROVIDE {} {id} {lane} {:.1}", self.instance, memory_mb));
     }
 
-    fn push(&mut self, job: usize, engine: usize, time_out: Option<f64>) {
+    /// On this wire a push leaves at once.
+    fn push(&mut self, job: usize, engine: usize, time_out: Option<f64>, _leave_by: f64) {
         let Some(name) = self.ids.jobs.get_mut(&job) else { return };
         name.out += 1;
         let (id, time_out) = (name.id, time_out.map_or(0, |limit| micros(limit).max(1)));
--- a/crates/lab/src/virtual_comeback.rs
+++ b/crates/lab/src/virtual_comeback.rs
@@ -105,7 +105,7 @@
 
 impl Writer for Book {
     fn terms(&mut self, _: usize, _: u8, _: f64) {}
-    fn push(&mut self, job: usize, engine: usize, time_out: Option<f64>) {
+    fn push(&mut self, job: usize, engine: usize, time_out: Option<f64>, _leave_by: f64) {
         self.pushes.push((job, engine, time_out));
     }
     fn call_off(&mut self, job: usize, push: u32) {
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -73,12 +73,15 @@
 /// What routing asks of the connections.
 pub trait Peers {
     fn answer(&mut self, session: SessionId, answer: Answer);
-    fn push(&mut self, push: PushId, engine: u64, address: SocketAddr, ask: &Ask);
+    /// Pushes, as long as that can leave by then; else it is over, and never left.
+    fn push(&mut self, push: PushId, engine: u64, address: SocketAddr, ask: &Ask, leave_by: f64);
     fn change_lane(&mut self, push: PushId, lane: u8);
     /// Gives a push up. How far it had come is news once its engine has let go of it, or had time to.
     fn give_up(&mut self, push: PushId);
     /// Closes the connections to an engine that carry nothing.
     fn close_idle(&mut self, engine: u64);
+    /// What still waits for a connection to an engine does not leave any more: it drains, or has gone.
+    fn call_back(&mut self, engine: u64);
 }
 
 /// One engine on the list. Its number is its own for good; its index goes to another once it has gone.
@@ -289,7 +292,7 @@
         }
     }
 
-    fn push(&mut self, id: usize, at: usize, time_out: Option<f64>) {
+    fn push(&mut self, id: usize, at: usize, time_out: Option<f64>, leave_by: f64) {
         let desk = &mut *self.desk;
         let (Some(job), Some(engine)) = (desk.jobs.get(&id), desk.engines.get(at)) else {
             return log::error!("a push of an unknown job or to an unknown engine: {id} to {at}");
@@ -310,7 +313,7 @@
                 lane: job.lane,
                 statement: &job.request.statement,
             };
-            self.peers.push(push, engine.number, engine.address, &ask);
+            self.peers.push(push, engine.number, engine.address, &ask, leave_by);
             if let (Some(marks), Some(mark)) = (&mut desk.marks, job.mark) {
                 desk.changes += u64::from(marks.pushed(mark, desk.now));
             }
@@ -583,6 +586,12 @@
     ) {
         for (listings, whole) in lists {
             self.gateway.engines_listed(self.desk.now, &listings, whole);
+            let ready = |engine: &Engine| engine.listing.stage == Stage::Ready;
+            self.desk
+                .engines
+                .iter()
+                .filter(|engine| !ready(engine))
+                .for_each(|engine| peers.call_back(engine.number));
         }
         for (push, ending) in std::mem::take(&mut self.desk.later) {
             self.push_over(push, ending, None, peers);
--- a/crates/router/src/routing/tests.rs
+++ b/crates/router/src/routing/tests.rs
@@ -12,6 +12,7 @@
     /// Ends of what was given up: news of the next turn.
     leaving: Vec<(PushId, Outcome)>,
     lanes: Vec<u8>,
+    called_back: Vec<u64>,
     /// What giving up reports.
     how_far: Option<Failure>,
 }
@@ -20,7 +21,7 @@
     fn answer(&mut self, session: SessionId, answer: Answer) {
         self.answers.push((session, answer));
     }
-    fn push(&mut self, push: PushId, engine: u64, _address: SocketAddr, ask: &Ask) {
+    fn push(&mut self, push: PushId, engine: u64, _address: SocketAddr, ask: &Ask, _leave_by: f64) {
         self.pushes.push((push, engine, ask.category.to_string()));
     }
     fn change_lane(&mut self, _push: PushId, lane: u8) {
@@ -31,6 +32,9 @@
         self.leaving.push((push, Err(self.how_far.unwrap_or(Failure::Sent))));
     }
     fn close_idle(&mut self, _engine: u64) {}
+    fn call_back(&mut self, engine: u64) {
+        self.called_back.push(engine);
+    }
 }
 
 struct Host {
@@ -391,10 +395,26 @@
     host.ask(4, request("look"));
     let mut pen = Pen { desk: &mut host.routing.desk, peers: &mut host.peers };
     // One push is out, and copies are not allowed.
-    pen.push(0, 1, None);
-    pen.push(9, 0, None);
-    pen.push(0, 9, None);
+    pen.push(0, 1, None, f64::INFINITY);
+    pen.push(9, 0, None, f64::INFINITY);
+    pen.push(0, 9, None, f64::INFINITY);
     assert_eq!(host.peers.pushes.len(), 1);
     host.end(done());
     assert_eq!(host.peers.answers.len(), 1);
 }
+
+#[test]
+fn what_waits_for_an_engine_that_drains_or_has_gone_is_called_back() {
+    let mut host = Host::new();
+    host.ask(1, request("look"));
+    let (push, engine, _) = host.peers.pushes[0].clone();
+    let [first, second] =
+        ["a", "b"].map(|uid| host.routing.desk.engines.iter().find(|one| one.uid == uid).unwrap().number);
+    let (uid, port, other) = if engine == first { ("a", 1, second) } else { ("b", 2, first) };
+    let drains = Entry { stage: Stage::Draining, ..entry(uid, port) };
+    host.turn(News { lists: vec![list(2, false, vec![drains])], ..News::default() });
+    assert_eq!(host.peers.called_back, [engine]);
+    // It never left, so that it goes elsewhere.
+    host.turn(News { ends: vec![(push, Err(Failure::NeverSent))], ..News::default() });
+    assert_eq!(host.peers.pushes[1].1, other);
+}
--- a/crates/router/src/transport/engine.rs
+++ b/crates/router/src/transport/engine.rs
@@ -14,8 +14,8 @@
 const MOST_INPUT: usize = 64 * 1024;
 /// A connection whose engine leaves so much unread takes nothing new.
 const MOST_UNSENT: usize = 256 * 1024;
-/// Ids given up on a connection are kept for as long as it lives, as their answers may still come; with so many
-/// of them it takes nothing new.
+/// Ids of pushes that ended on a connection without a result are kept for as long as it lives, as more answers to them may
+/// still come; with so many of them it takes nothing new.
 const MOST_GIVEN_UP: usize = 1000;
 /// An engine with pushes out that has given no sign for so long is asked for one.
 const QUIET: f64 = 0.25;
@@ -34,6 +34,14 @@
     pages: Option<Pages>,
 }
 
+struct Request {
+    id: String,
+    push: PushId,
+    bytes: Vec<u8>,
+    /// It has left by then, or never does.
+    leave_by: f64,
+}
+
 struct Leaving {
     push: PushId,
     failure: Failure,
@@ -53,7 +61,7 @@
     state: State,
     buffer: Buffer,
     /// Requests that wait for the connection, none of which has left.
-    waiting: Vec<(String, PushId, Vec<u8>)>,
+    waiting: Vec<Request>,
     exchanges: HashMap<String, Exchange>,
     given_up: HashSet<String>,
     /// Given up, but its engine may not know yet.
@@ -148,6 +156,14 @@
         self.waiting.len() + self.exchanges.len()
     }
 
+    /// By when it must be up.
+    pub fn coming_up_until(&self) -> f64 {
+        match self.state {
+            State::Connecting { until } => until,
+            State::Up => f64::INFINITY,
+        }
+    }
+
     pub fn up(&self) -> bool {
         matches!(self.state, State::Up)
     }
@@ -157,7 +173,7 @@
         let stale = self.carries() == 0 && now > self.idle_since + stated.idle_after * IDLE_CAUTION;
         let known = self.given_up.contains(id)
             || self.exchanges.contains_key(id)
-            || self.waiting.iter().any(|(waiting, ..)| waiting == id);
+            || self.waiting.iter().any(|request| request.id == id);
         let full = self.carries() >= stated.pushes_each
             || self.given_up.len() >= MOST_GIVEN_UP
             || self.buffer.unsent() > MOST_UNSENT;
@@ -198,29 +214,56 @@
             State::Up => f64::INFINITY,
         };
         let leaving = self.leaving.values().map(|leaving| leaving.until);
+        let leaving = leaving.chain(self.waiting.iter().map(|request| request.leave_by));
         let unfinished = self.begun_at.map(|begun| begun + UNFINISHED);
         leaving.chain(unfinished).fold(due, f64::min)
     }
 
-    pub fn push(&mut self, push: PushId, ask: &engine::Ask, now: f64) -> io::Result<()> {
+    pub fn push(
+        &mut self,
+        push: PushId,
+        ask: &engine::Ask,
+        leave_by: f64,
+        now: f64,
+        ends: &mut Vec<(PushId, Outcome)>,
+    ) -> io::Result<()> {
         let mut bytes = Vec::new();
         engine::get(&mut bytes, ask);
-        self.waiting.push((ask.id.to_string(), push, bytes));
+        self.waiting.push(Request { id: ask.id.to_string(), push, bytes, leave_by });
         if self.up() {
-            self.send_waiting(now)?;
+            self.send_waiting(now, ends)?;
         }
         self.ask(now)
     }
 
-    fn send_waiting(&mut self, now: f64) -> io::Result<()> {
+    fn send_waiting(&mut self, now: f64, ends: &mut Vec<(PushId, Outcome)>) -> io::Result<()> {
         self.idle_since = now;
-        for (id, push, bytes) in std::mem::take(&mut self.waiting) {
+        self.too_late_to_leave(now, ends);
+        for Request { id, push, bytes, .. } in std::mem::take(&mut self.waiting) {
             self.put(&bytes);
             self.exchanges.insert(id, Exchange { push, end: self.put, pages: None });
         }
         self.flush()
     }
 
+    fn too_late_to_leave(&mut self, now: f64, ends: &mut Vec<(PushId, Outcome)>) {
+        self.waiting.retain(|request| {
+            let late = now >= request.leave_by;
+            ends.extend(late.then_some((request.push, Err(Failure::NeverSent))));
+            !late
+        });
+    }
+
+    /// Nothing that waits for it to come up leaves any more.
+    pub fn call_back(&mut self, ends: &mut Vec<(PushId, Outcome)>) {
+        ends.extend(self.waiting.drain(..).map(|request| (request.push, Err(Failure::NeverSent))));
+    }
+
+    /// Its engine has yet to take bytes that were put on it.
+    pub fn stuck(&self) -> bool {
+        self.buffer.unsent() > 0
+    }
+
     fn put(&mut self, bytes: &[u8]) {
         self.buffer.put(bytes);
         self.put += bytes.len() as u64;
@@ -253,7 +296,7 @@
     /// Gives a push up. Where another connection's words may overtake ours, the engine would run two at once: so
     /// it is over once the engine has answered what was said behind.
     pub fn give_up(&mut self, push: PushId, now: f64, ends: &mut Vec<(PushId, Outcome)>) -> io::Result<()> {
-        if let Some(at) = self.waiting.iter().position(|(_, waiting, _)| *waiting == push) {
+        if let Some(at) = self.waiting.iter().position(|request| request.push == push) {
             self.waiting.remove(at);
             ends.push((push, Err(Failure::NeverSent)));
             return Ok(());
@@ -274,6 +317,7 @@
 
     /// Tells of what its engine has had time to let go of; an answer that is still not whole is none.
     pub fn time_passed(&mut self, now: f64, ends: &mut Vec<(PushId, Outcome)>) -> Result<(), Broken> {
+        self.too_late_to_leave(now, ends);
         self.leaving.retain(|_, leaving| {
             let over = now >= leaving.until;
             ends.extend(over.then_some((leaving.push, Err(leaving.failure))));
@@ -301,7 +345,7 @@
             if self.is_trial {
                 self.ask_now(now)?;
             }
-            self.send_waiting(now)?;
+            self.send_waiting(now, ends)?;
         }
         self.flush()?;
         if !self.readable {
@@ -366,8 +410,9 @@
                 };
                 if let Some(reply) = outcome {
                     let exchange = self.exchanges.remove(answer.id).expect("just seen");
-                    if exchange.pages.is_some() && reply == Reply::Erred {
-                        // Its other pages may still come.
+                    if !matches!(reply, Reply::Done { .. }) {
+                        // A second copy of it, or its other pages, may still come: they must not pass for an answer to the
+                        // job's next push.
                         self.given_up.insert(answer.id.to_string());
                     }
                     ends.push((exchange.push, Ok(reply)));
@@ -395,6 +440,6 @@
             };
             ends.push((exchange.push, Err(failure)));
         }
-        ends.extend(self.waiting.into_iter().map(|(_, push, _)| (push, Err(Failure::Refused))));
+        ends.extend(self.waiting.into_iter().map(|request| (request.push, Err(Failure::Refused))));
     }
 }
--- a/crates/router/src/transport/links.rs
+++ b/crates/router/src/transport/links.rs
@@ -41,15 +41,23 @@
         }
     }
 
-    pub fn push(&mut self, push: PushId, engine: u64, address: SocketAddr, ask: &Ask, now: f64) {
-        let mut found = self.find(engine, address, ask.id, now);
+    pub fn push(
+        &mut self,
+        push: PushId,
+        engine: u64,
+        address: SocketAddr,
+        ask: &Ask,
+        leave_by: f64,
+        now: f64,
+    ) {
+        let mut found = self.find(engine, address, ask.id, leave_by, now);
         // An idle one that its engine has just closed would lose the push: that is looked at first.
         while let Some(id) = found.filter(|id| self.links[id].up() && self.links[id].carries() == 0) {
             self.work(id, true, now);
             if self.links.contains_key(&id) {
                 break;
             }
-            found = self.find(engine, address, ask.id, now);
+            found = self.find(engine, address, ask.id, leave_by, now);
         }
         let id = match found.map_or_else(|| self.open(engine, address, now), Ok) {
             Ok(id) => id,
@@ -57,14 +65,17 @@
         };
         self.link_of.insert(push, id);
         let link = self.links.get_mut(&id).expect("just found");
-        if let Err(error) = link.push(push, ask, now) {
+        if let Err(error) = link.push(push, ask, leave_by, now, &mut self.ends) {
             self.broken(id, Broken::Io(error), now);
         }
     }
 
-    /// A connection that takes the push: one that is up before one that is coming up.
-    fn find(&self, engine: u64, address: SocketAddr, push: &str, now: f64) -> Option<u64> {
-        let here = |link: &Link| link.engine == engine && link.address == address;
+    /// A connection that takes the push: one that is up before one that is coming up. What must have left by some time is
+    /// not put behind bytes that their engine has yet to take.
+    fn find(&self, engine: u64, address: SocketAddr, push: &str, leave_by: f64, now: f64) -> Option<u64> {
+        let here = |link: &Link| {
+            link.engine == engine && link.address == address && (leave_by == f64::INFINITY || !link.stuck())
+        };
         let fit = self.links.iter().filter(|(_, link)| here(link) && link.takes(push, &self.stated, now));
         fit.max_by_key(|(&id, link)| (link.up(), id)).map(|(&id, _)| id)
     }
@@ -177,7 +188,7 @@
             self.links.iter().filter(|(_, link)| now >= link.due(idle)).map(|(&id, _)| id).collect();
         for id in due {
             let Some(link) = self.links.get_mut(&id) else { continue };
-            if !link.up() {
+            if !link.up() && link.coming_up_until() <= now {
                 self.work(id, false, now);
             } else if let Err(why) = link.time_passed(now, &mut self.ends) {
                 self.broken(id, why, now);
@@ -257,6 +268,12 @@
         idle.map(|(&id, _)| id).collect::<Vec<_>>().into_iter().for_each(|id| self.close(id, now));
     }
 
+    /// What waits for a connection to this engine to come up never leaves.
+    pub fn call_back(&mut self, engine: u64) {
+        let here = self.links.values_mut().filter(|link| link.engine == engine);
+        here.for_each(|link| link.call_back(&mut self.ends));
+    }
+
     pub fn unfinished(&self) -> impl Iterator<Item = Source> + '_ {
         self.links.iter().filter(|(_, link)| link.unfinished()).map(|(&id, _)| Source::Link(id))
     }
--- a/crates/router/src/transport/links/tests.rs
+++ b/crates/router/src/transport/links/tests.rs
@@ -28,7 +28,12 @@
     }
 
     fn push(&mut self, job: usize) {
-        let id = format!("{job:016x}");
+        self.push_by(push(job), f64::INFINITY);
+    }
+
+    /// A push that must have left by then.
+    fn push_by(&mut self, push: PushId, leave_by: f64) {
+        let id = format!("{:016x}", push.job);
         let ask = Ask {
             id: &id,
             category: "look",
@@ -38,14 +43,21 @@
             lane: 1,
             statement: b"x",
         };
-        self.links.push(push(job), 1, self.address, &ask, self.now);
+        self.links.push(push, 1, self.address, &ask, leave_by, self.now);
     }
 
     /// The engine's side of the next connection, with what is said on it first.
     fn accepted(&mut self, first: &str) -> TcpStream {
-        let mut far = self.listener.accept().unwrap().0;
-        self.hears(&mut far, first);
-        far
+        self.listener.set_nonblocking(true).unwrap();
+        for _ in 0..2000 {
+            if let Ok((mut far, _)) = self.listener.accept() {
+                far.set_nonblocking(false).unwrap();
+                self.hears(&mut far, first);
+                return far;
+            }
+            std::thread::sleep(std::time::Duration::from_millis(1));
+        }
+        panic!("no connection came");
     }
 
     /// Works until the engine has read these words.
@@ -180,3 +192,69 @@
     assert_eq!(story.ends(), [(1, Err(Failure::Sent))]);
     assert_eq!(story.links.links.len(), 1, "the other goes on");
 }
+
+/// Hard case: a repeat of a receipted job waits for a connection that comes up just after its window.
+#[test]
+fn what_must_have_left_by_some_time_does_not_leave_later() {
+    let mut story = Story::new();
+    // It takes the connection that the story has not looked at yet: up for the system, and not for us.
+    story.push_by(push(1), story.now + 0.1);
+    story.push_by(push(2), story.now + 0.3);
+    assert!(story.links.due() <= story.now + 0.1 + 1e-9, "it is told as soon as it can't leave any more");
+    story.now += 0.1;
+    let mut far = story.accepted(&format!("GET {:016x}", 2));
+    assert_eq!(story.ends(), [(1, Err(Failure::NeverSent))]);
+    story.push(3);
+    let mut heard = Vec::new();
+    far.set_read_timeout(Some(std::time::Duration::from_millis(5))).unwrap();
+    while !String::from_utf8_lossy(&heard).contains(&format!("GET {:016x}", 3)) {
+        story.work();
+        let mut bytes = [0; 4096];
+        let read = far.read(&mut bytes).unwrap_or(0);
+        heard.extend(&bytes[..read]);
+    }
+    assert!(!String::from_utf8_lossy(&heard).contains(&format!("GET {:016x}", 1)));
+    // On one that is up it is sent in time or not at all.
+    story.push_by(push(4), story.now);
+    assert_eq!(story.ends(), [(4, Err(Failure::NeverSent))]);
+}
+
+/// Hard case: an engine turns a job away, gets it again, and a second copy of its first answer comes late. Taken for the
+/// second push's own, it would prove that nothing ran while that push runs.
+#[test]
+fn a_second_copy_of_an_answer_that_comes_late_is_no_answer_to_the_next_push() {
+    for (word, reply) in [
+        ("WAIT", crate::routing::Reply::Full),
+        ("BROKE", crate::routing::Reply::Erred),
+        ("PAST", crate::routing::Reply::TooLate),
+    ] {
+        let mut story = Story::new();
+        story.push(1);
+        let mut far = story.accepted("GET");
+        let first = answer(1, word, "-", "");
+        assert_eq!(story.says(&mut far, &first, 1), [(1, Ok(reply))]);
+        story.push_by(PushId { job: 1, number: 1 }, f64::INFINITY);
+        let mut other = story.accepted("GET");
+        far.write_all(first.as_bytes()).unwrap();
+        story.push(2);
+        assert_eq!(story.ends(), [], "{word}");
+        assert_eq!(story.says(&mut other, &answer(1, "DONE", "-", "a\tb\tc\n"), 1), [(1, done())]);
+    }
+}
+
+/// Hard case: an engine is told to drain while the connection that a push waits for comes up.
+#[test]
+fn what_waits_for_a_connection_does_not_leave_once_it_is_called_back() {
+    let mut story = Story::new();
+    story.push(1);
+    story.links.call_back(2);
+    story.links.call_back(1);
+    let mut ended = Vec::new();
+    story.links.ended(&mut ended);
+    assert_eq!(ended, [(push(1), Err(Failure::NeverSent))]);
+    // The connection comes up all the same, and what is on it is not touched.
+    story.push(2);
+    let mut far = story.accepted(&format!("GET {:016x}", 2));
+    story.links.call_back(1);
+    assert_eq!(story.says(&mut far, &answer(2, "DONE", "-", "a\tb\tc\n"), 1), [(2, done())]);
+}
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -171,9 +171,9 @@
         }
     }
 
-    fn push(&mut self, push: PushId, engine: u64, address: SocketAddr, ask: &Ask) {
+    fn push(&mut self, push: PushId, engine: u64, address: SocketAddr, ask: &Ask, leave_by: f64) {
         let Net { links, now, .. } = self;
-        if guarded("a push", || links.push(push, engine, address, ask, *now)).is_none() {
+        if guarded("a push", || links.push(push, engine, address, ask, leave_by, *now)).is_none() {
             links.failed(push, *now);
         }
     }
@@ -189,6 +189,10 @@
     fn close_idle(&mut self, engine: u64) {
         self.links.close_idle(engine, self.now);
     }
+
+    fn call_back(&mut self, engine: u64) {
+        self.links.call_back(engine);
+    }
 }
 
 struct Server {
@@ -201,6 +205,8 @@
     again: Vec<Source>,
     sweep_at: f64,
     serving: bool,
+    /// When the last turn began.
+    turned_at: f64,
     /// When this turn was due, if nothing became ready before.
     wake: f64,
     clock: Clock,
@@ -297,6 +303,7 @@
         news,
         again: Vec::new(),
         sweep_at: now,
+        turned_at: now,
         wake: f64::INFINITY,
         clock,
         serving: false,
@@ -337,9 +344,9 @@
     fn turn(&mut self, ready: &mut Ready) {
         let now = self.clock.read();
         // What has come in while we had no turn came after the last one, and its time runs from then.
-        let gap = now - self.net.now > 1.5 * BEAT;
-        self.news.since = gap.then_some(self.net.now);
-        self.net.now = now;
+        let gap = now - self.turned_at > 1.5 * BEAT;
+        self.news.since = gap.then_some(self.turned_at);
+        (self.turned_at, self.net.now) = (now, now);
         let overslept = ((now - self.wake).max(0.0) * 1e6) as u64;
         let mut sources = std::mem::take(&mut ready.sources);
         let unfinished = std::mem::take(&mut self.again).into_iter();
@@ -354,7 +361,8 @@
                 Source::Session(id) => {
                     self.net.sessions.work(id, readiness, self.serving, now, &mut self.news)
                 }
-                Source::Link(id) => self.net.links.work(id, readiness.readable, now),
+                // On the clock as it is: a connection that has come up takes only what may still leave.
+                Source::Link(id) => self.net.links.work(id, readiness.readable, self.clock.read()),
                 Source::Board => self.board(readiness.readable, now),
                 Source::Speaker(id) => {
                     let steady = self.steady.read();
@@ -381,6 +389,9 @@
         let mut news = std::mem::take(&mut self.news);
         self.net.links.ended(&mut news.ends);
         self.net.sessions.kills(self.serving, now, &mut news);
+        // Reading may have taken long: what is decided now leaves now.
+        let now = self.clock.read();
+        self.net.now = now;
         let (unusable, wake) = self.routing.turn(now, news, &mut self.net);
         for (session, why) in unusable {
             self.net.sessions.unusable(session, &why, now);
@@ -413,7 +424,7 @@
         self.again.extend(self.net.sessions.accepts_more().then_some(Source::Listener));
         self.again.extend(self.speaker.iter_mut().flat_map(Speaker::unfinished));
         self.again.extend(self.cluster.iter().any(Cluster::unfinished).then_some(Source::Cluster));
-        let spent = ((self.clock.read() - now) * 1e6) as u64;
+        let spent = ((self.clock.read() - self.turned_at) * 1e6) as u64;
         let counters = self.routing.counters();
         counters.turns += 1;
         counters.longest_turn_us = counters.longest_turn_us.max(spent);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -208,8 +208,9 @@
 pub trait Writer {
     /// Names the lane (0 to 3) and the memory for the job's pushes; zero MB leaves it to the engine.
     fn terms(&mut self, job: usize, lane: u8, memory_mb: f64);
-    /// Pushes a job; without a time-out it runs until the cut-off.
-    fn push(&mut self, job: usize, engine: usize, time_out: Option<f64>);
+    /// Pushes a job; without a time-out it runs until the cut-off. It must have left by `leave_by`, or not at all: what
+    /// repeats one that may have run is dropped as a repeat for a while only.
+    fn push(&mut self, job: usize, engine: usize, time_out: Option<f64>, leave_by: f64);
     fn call_off(&mut self, job: usize, push: u32);
     fn turn_back(&mut self, job: usize, come_back_in: Option<f64>);
     fn terminate(&mut self, job: usize);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -27,6 +27,9 @@
 /// How much of it is drawn for by lot where it is too small for a job.
 const LOT: f64 = 0.3;
 
+/// What a repeat may take to get to its engine: so much sooner than its window ends it must have left.
+const EDGE: f64 = 0.02;
+
 /// How long new jobs are taken after a drain began: within the second that is promised, less a slow turn.
 const NEW_WORK: f64 = 0.95;
 
@@ -466,11 +469,7 @@
             self.hold(now, id);
             self.fresh.push(id);
         }
-        if let Some(sent) = taken.earlier {
-            let of = self.given.categories[taken.category].effect;
-            let lasts = if let Effect::Receipted { window, reach: Reach::All } = of { window } else { 0.0 };
-            self.due.insert((rank(sent + lasts), Due::Expired(id)));
-        }
+        self.expires(id);
         self.time_ends(id, self.stop);
     }
 
@@ -647,9 +646,7 @@
             self.job_withdrawn(end.job);
         } else if let Some(job) = self.jobs.get(&end.job).filter(|job| !job.over && !job.out()) {
             self.due.insert((rank(self.last_start(job)), Due::TooLate(end.job)));
-            if let Effect::Receipted { window, .. } = self.given.categories[category].effect {
-                self.due.insert((rank(sent + window), Due::Expired(end.job)));
-            }
+            self.expires(end.job);
             self.hold(now, end.job);
             self.again.push(end.job);
         }
@@ -875,6 +872,7 @@
         let lane = self.lane(id);
         let (time_out, patience) = (self.time_out(now, id, at), self.patience(&self.jobs[&id]));
         let weight = self.learned[self.jobs[&id].taken.category].work.or(1.0);
+        let leave_by = self.repeats_until(&self.jobs[&id]);
         let job = self.jobs.get_mut(&id).expect("a held job");
         let category = &self.given.categories[job.taken.category];
         job.ledger_wait += job.ledger_held_at.take().map_or(0.0, |since| now - since);
@@ -895,7 +893,7 @@
         if self.given.grants || self.given.lanes {
             out.terms(id, lane, if self.given.grants { grant } else { 0.0 });
         }
-        out.push(id, at, time_out);
+        out.push(id, at, time_out, leave_by);
     }
 
     /// Rules 2 to 7. Every push passes here.
@@ -985,17 +983,26 @@
     /// No push can follow, whatever comes.
     fn can_never_push(&self, id: usize, now: f64) -> bool {
         let job = &self.jobs[&id];
-        let mut ran = job.pushes.iter().filter(|push| !push.never_ran);
-        let effect = self.given.categories[job.taken.category].effect;
-        let may_repeat = |sent: f64| match effect {
-            Effect::Pure => true,
-            Effect::Effectful => false,
-            Effect::Receipted { window, .. } => now < sent + window,
+        now >= self.repeats_until(job) || job.pushes.len() as u32 >= self.given.most_pushes
+    }
+
+    /// Until when a push may leave, by the earlier ones that may have run.
+    fn repeats_until(&self, job: &Job) -> f64 {
+        let (lasts, lasts_elsewhere) = match self.given.categories[job.taken.category].effect {
+            Effect::Pure => return f64::INFINITY,
+            Effect::Effectful => (f64::NEG_INFINITY, f64::NEG_INFINITY),
+            Effect::Receipted { window, reach: Reach::All } => (window - EDGE, window - EDGE),
+            // Of one under another job only the time is known, not where it ran.
+            Effect::Receipted { window, .. } => (window - EDGE, f64::NEG_INFINITY),
         };
-        // Of one under another job only the time is known, not where it ran.
-        let near = !matches!(effect, Effect::Receipted { reach: Reach::Zone | Reach::Cell, .. });
-        let spent = job.taken.earlier.is_some_and(|sent| !near || !may_repeat(sent));
-        spent || job.pushes.len() as u32 >= self.given.most_pushes || !ran.all(|push| may_repeat(push.sent))
+        let ran = job.pushes.iter().filter(|push| !push.never_ran).map(|push| push.sent + lasts);
+        ran.chain(job.taken.earlier.map(|sent| sent + lasts_elsewhere)).fold(f64::INFINITY, f64::min)
+    }
+
+    /// Sees to it that a held job is looked at when no push can follow any more.
+    fn expires(&mut self, id: usize) {
+        let until = self.repeats_until(&self.jobs[&id]);
+        self.due.extend((until < f64::INFINITY).then_some((rank(until), Due::Expired(id))));
     }
 
     /// When to come back, no later than clients follow: with teams, once the line would take the job.
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -18,6 +18,7 @@
     pub log: Vec<String>,
     /// Of each push.
     pub time_outs: Vec<Option<f64>>,
+    pub leave_by: Vec<f64>,
     /// Of each job turned back.
     pub advice: Vec<Option<f64>>,
     now: f64,
@@ -34,8 +35,9 @@
     fn terms(&mut self, _job: usize, lane: u8, memory_mb: f64) {
         self.terms = (lane, memory_mb);
     }
-    fn push(&mut self, job: usize, engine: usize, time_out: Option<f64>) {
+    fn push(&mut self, job: usize, engine: usize, time_out: Option<f64>, leave_by: f64) {
         self.time_outs.push(time_out);
+        self.leave_by.push(leave_by);
         let (lane, grant) = self.terms;
         self.note(Wrote::Push { job, engine, grant, lane });
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -75,6 +75,40 @@
     assert_eq!(world.answers(late)[0].1, Wrote::Terminate(late));
 }
 
+/// Rule 2 at the very edge of a short window: a repeat is made only where it can still be there in time, its host is told
+/// by when it must have left, and where it did not, the job has its answer at once. All counts from the first push that
+/// may have run.
+#[test]
+fn a_repeat_at_the_edge_of_its_window_leaves_in_time_or_not_at_all() {
+    let mut deployment = plain();
+    deployment.categories[0].effect = Effect::Receipted { reach: Reach::All, window: 1.0 };
+    deployment.categories[0].expected_time = 8.0;
+    let mut world = World::new(deployment, 6);
+    let jobs: Vec<usize> = (0..3).map(|_| world.job(0, |_| ())).collect();
+    world.round();
+    let begun = world.now;
+    assert_eq!(world.book.leave_by, [f64::INFINITY; 3], "nothing has run before");
+    // The first of these never ran: only the second one's time counts.
+    world.now = begun + 0.4;
+    world.over(jobs[0], Ending::Unreached, 0.4);
+    world.round();
+    assert_eq!(world.book.leave_by[3], f64::INFINITY);
+    world.now = begun + 0.5;
+    world.over(jobs[0], Ending::Broken, 0.1);
+    world.over(jobs[1], Ending::Broken, 0.5);
+    world.round();
+    let mut by = world.book.leave_by[4..].to_vec();
+    by.sort_by(f64::total_cmp);
+    assert!((by[0] - (begun + 0.98)).abs() < 1e-9 && (by[1] - (begun + 1.38)).abs() < 1e-9, "{by:?}");
+    // Its connection did not come up in time; and one whose push ends when a repeat could not be there any more.
+    world.now = begun + 0.985;
+    world.over(jobs[1], Ending::NeverSent, 0.485);
+    world.over(jobs[2], Ending::Broken, 0.985);
+    world.round();
+    assert_eq!((world.engines_of(jobs[1]).len(), world.engines_of(jobs[2]).len()), (2, 1));
+    assert_eq!((world.answers(jobs[1]).len(), world.answers(jobs[2]).len()), (1, 1));
+}
+
 #[test]
 fn a_job_has_no_more_pushes_than_are_allowed() {
     let mut world = World::new(plain(), 3);
