--- a/crates/router/src/transport/board.rs
+++ b/crates/router/src/transport/board.rs
@@ -5,6 +5,7 @@
 use crate::protocol::board::{self, Event, Line};
 use crate::routing::Counters;
 use calloop::RegistrationToken;
+use std::hash::{BuildHasher, RandomState};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -13,7 +14,11 @@
 /// up and another one, that is well within the 4 s after which a silent board's events count as told.
 const SILENT: f64 = 1.8;
 const CONNECT: f64 = 0.5;
+/// The pauses between tries: they grow while it stays away, and are drawn, so that many routers which lost it together do
+/// not all come back in one moment. The longest keeps well within the 2 s after which a lost board's events count as told.
 const RETRY: f64 = 0.1;
+const LONGEST_RETRY: f64 = 0.4;
+const GROWS: f64 = 1.6;
 
 enum State {
     Down { retry_at: f64 },
@@ -33,6 +38,9 @@
     /// An event was missed, and the board asked again: what it has now is all there is.
     gap: bool,
     away: bool,
+    /// Tries since it was last heard, and what their pauses are drawn from.
+    tries: u32,
+    chance: RandomState,
     /// When its last line came; at first, when it was first looked for.
     heard_at: f64,
     pub counters: Counters,
@@ -50,11 +58,20 @@
             last,
             gap: false,
             away: false,
+            tries: 0,
+            chance: RandomState::new(),
             heard_at: now,
             counters: Counters::default(),
         }
     }
 
+    /// How long until the next try.
+    fn pause(&mut self) -> f64 {
+        let most = (RETRY * GROWS.powi(self.tries.min(100) as i32)).min(LONGEST_RETRY);
+        self.tries += 1;
+        most * (0.5 + 0.5 * self.chance.hash_one(self.tries) as f64 / u64::MAX as f64)
+    }
+
     /// Seconds since it was last heard; none where there is no board.
     pub fn silent_for(&self, now: f64) -> Option<f64> {
         self.address.map(|_| now - self.heard_at)
@@ -78,7 +95,7 @@
     pub fn connecting(&mut self, wire: Option<(RegistrationToken, Rc<TcpStream>)>, now: f64) {
         self.state = match wire {
             Some(_) => State::Connecting { until: now + CONNECT },
-            None => State::Down { retry_at: now + RETRY },
+            None => State::Down { retry_at: now + self.pause() },
         };
         (self.wire, self.buffer, self.readable) = (wire, Buffer::default(), false);
     }
@@ -106,6 +123,7 @@
         let words = address.map_or("none".to_string(), |address| address.to_string());
         log::info!("notice board is {words} now, asked from event {}", self.last);
         (self.address, self.state, self.readable) = (address, State::Down { retry_at: now }, false);
+        self.tries = 0;
         self.wire.take().map(|(token, _)| token)
     }
 
@@ -115,7 +133,7 @@
         let level =
             if std::mem::replace(&mut self.away, true) { log::Level::Debug } else { log::Level::Warn };
         log::log!(level, event = self.last; "notice board lost: {why}; the list of event {} stands", self.last);
-        (self.state, self.readable) = (State::Down { retry_at: now + RETRY }, false);
+        (self.state, self.readable) = (State::Down { retry_at: now + self.pause() }, false);
         self.wire.take().map(|(token, _)| token)
     }
 
@@ -154,7 +172,7 @@
         let reached = self.buffer.read(&*stream, self.longest).map_err(words)?;
         self.readable = reached == Reached::More;
         while let Some(end) = self.buffer.input().iter().position(|&byte| byte == b'\n') {
-            (self.state, self.heard_at) = (State::Up { heard_at: now }, now);
+            (self.state, self.heard_at, self.tries) = (State::Up { heard_at: now }, now, 0);
             if std::mem::replace(&mut self.away, false) {
                 log::info!("notice board heard again, from event {}", self.last);
             }
