--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -240,3 +240,58 @@
     assert_eq!(router.ended().0, Some(0));
     assert!(begun.elapsed() < GENEROUS / 2);
 }
+
+/// Idle clients fill what descriptors there are while discovery is down: the board and a first connection to each engine
+/// find theirs all the same, and a client that asks is let in.
+#[test]
+fn idle_clients_that_fill_the_descriptors_while_discovery_is_down_keep_out_neither_board_nor_engine() {
+    let engines: Vec<Engine> = ["a", "b", "c", "d", "e", "f"].map(Engine::start).into();
+    let board = Board::start();
+    let away = vacant();
+    let descriptors = 40;
+    // It starts while discovery is down, and knows of no engine.
+    let elsewhere = |text: String| text.replace(&board.address.to_string(), &away.to_string());
+    let router = Router::changed(PROGRAM, &board, descriptors, &[], elsewhere);
+    let _idle: Vec<Client> = (0..2 * descriptors).map(|_| Client::new(&router)).collect();
+    let half: Vec<Client> = (0..descriptors).map(|_| Client::early(&router, &login()[..9])).collect();
+    let entries: Vec<String> = engines.iter().map(|engine| engine.entry("ready")).collect();
+    board.tell(true, &entries);
+    router.reload(&router.configuration(&board, "{\"rev\":0,\"notices\":[]}"));
+    router.log.wait("is f at", 1);
+    let mut asks = Client::new(&router);
+    // Some group begins with each of them.
+    for group in 0..400 {
+        let _ = asks.ask(&job("look", 5000, &format!("x FROM sales_{group}.t")));
+        if engines.iter().all(|engine| engine.seen.all().iter().any(|line| line.starts_with("GET"))) {
+            break;
+        }
+    }
+    for engine in &engines {
+        assert!(engine.seen.all().iter().any(|line| line.starts_with("GET")), "{} had nothing", engine.uid);
+    }
+    let counters = asks.counters("open", 0);
+    assert_eq!((counter(&counters, "descriptors_short"), counter(&counters, "pushes_never_sent")), (0, 0));
+    drop(half);
+}
+
+/// A new process comes while the one before it still holds the port and has a job open; discovery is down.
+#[test]
+fn a_restarted_router_is_ready_as_soon_as_the_one_before_it_lets_go_of_the_port() {
+    let engine = Engine::start("e");
+    let (mut board, mut router) = quick(&engine);
+    let mut long = Client::new(&router);
+    long.send(&job("look", 500, "hold"));
+    engine.seen.wait("GET", 1);
+    router.terminate();
+    router.log.wait("stopping", 1);
+    board.address = vacant();
+    let program = std::path::Path::new(PROGRAM);
+    let next = Router::at(router.address, program, &board, 256, &[], |text| text);
+    assert!(matches!(long.answer(), Answered::Error(1040, _)), "it had its answer from the one before");
+    let begun = Instant::now();
+    let mut client = Client::new(&next);
+    client.stream.write_all(&packet(0, &[0x0e])).unwrap();
+    assert_eq!(client.answer(), Answered::Ok);
+    assert!(begun.elapsed() < Duration::from_secs(5));
+    assert_eq!(router.ended().0, Some(0));
+}
