--- a/src/logic.rs
+++ b/src/logic.rs
@@ -509,8 +509,8 @@
         Some(Met { good: own.sum, bad: own.weight - own.sum, sent })
     }
 
-    /// We begin without knowing what we pushed before: the worst that rules 4 and 7 can mean, for as long as they
-    /// look back.
+    /// We begin without knowing what we pushed before: the worst that rules 4 and 7 can mean, for as long
+    /// as they look back.
     pub fn forgot(&mut self, now: f64) {
         self.forgot_at = now;
         self.repeats.extend(std::iter::repeat_n(now, self.repeat_budget().spare.ceil() as usize));
