--- a/crates/router/src/transport/links/tests.rs
+++ b/crates/router/src/transport/links/tests.rs
@@ -258,3 +258,27 @@
     story.links.call_back(1);
     assert_eq!(story.says(&mut far, &answer(2, "DONE", "-", "a\tb\tc\n"), 1), [(2, done())]);
 }
+
+/// Hard case: a client leaves while its push waits for a connection.
+#[test]
+fn what_is_given_up_while_it_waits_for_a_connection_never_leaves() {
+    let mut story = Story::new();
+    story.push(1);
+    story.push(2);
+    story.links.give_up(push(1), story.now);
+    let mut far = story.accepted("GET");
+    assert_eq!(story.ends(), [(1, Err(Failure::NeverSent))]);
+    story.push(3);
+    let mut heard = String::new();
+    far.set_read_timeout(Some(std::time::Duration::from_millis(5))).unwrap();
+    for _ in 0..2000 {
+        story.work();
+        let mut bytes = [0; 4096];
+        let read = far.read(&mut bytes).unwrap_or(0);
+        heard.push_str(std::str::from_utf8(&bytes[..read]).unwrap());
+        if heard.contains(&format!("GET {:016x}", 3)) {
+            break;
+        }
+    }
+    assert!(heard.contains(&format!("GET {:016x}", 3)) && !heard.contains("DROP"), "{heard}");
+}
