--- a/crates/adapter/src/host.rs
+++ b/crates/adapter/src/host.rs
@@ -503,7 +503,7 @@
         let memory = fields.number("mem-mb")?;
         let table_group = fields.number("schema-no")?.unwrap_or(0.0);
         let bits = fields.maybe::<u64>("state-bits", "a whole number")?.unwrap_or(0);
-        let cut_off = seconds(fields.whole("valid-until-us")?);
+        let deadline = seconds(fields.whole("valid-until-us")?);
         let Some(category) = self.names.categories.iter().position(|name| name == category) else {
             return Err(fields.complain("tier-class", "a class named at the start", category));
         };
@@ -517,7 +517,7 @@
             table_group: table_group.to_bits(),
             cost: cost.filter(|&cost| bits & 1 == 1 && cost > 0).map(seconds),
             memory_mb: memory.filter(|&memory| memory > 0.0),
-            cut_off,
+            deadline,
             team,
             earlier: None,
         };
--- a/crates/lab/src/virtual_comeback.rs
+++ b/crates/lab/src/virtual_comeback.rs
@@ -74,7 +74,7 @@
 struct Job {
     sent: f64,
     work: f64,
-    cut_off: f64,
+    deadline: f64,
     /// Out at which engines, by number of the push; when each is over.
     out: Vec<(usize, bool, Option<f64>)>,
     over: bool,
@@ -277,11 +277,11 @@
         let (now, router) = (self.now, &mut self.routers[at]);
         let Some(gateway) = &mut router.gateway else { return };
         router.next += 1;
-        let cut_off = now + PATIENCE;
+        let deadline = now + PATIENCE;
         let cost = Some(work);
-        let taken = Taken { table_group: group, cost, memory_mb: Some(10.0), cut_off, ..Taken::default() };
+        let taken = Taken { table_group: group, cost, memory_mb: Some(10.0), deadline, ..Taken::default() };
         gateway.job_taken(now, router.next, taken);
-        router.jobs.insert(router.next, Job { sent: now, work, cut_off, out: Vec::new(), over: false });
+        router.jobs.insert(router.next, Job { sent: now, work, deadline, out: Vec::new(), over: false });
         router.wake = now;
     }
 
@@ -294,7 +294,7 @@
         router.wake = if book.wake.is_finite() { book.wake } else { router.wake };
         for (id, engine, time_out) in book.pushes {
             let Some(job) = router.jobs.get_mut(&id) else { continue };
-            let until = time_out.map_or(job.cut_off, |wait| job.cut_off.min(now + wait));
+            let until = time_out.map_or(job.deadline, |wait| job.deadline.min(now + wait));
             if !job.out.is_empty() {
                 router.further.push(now);
                 router.puts.changed();
@@ -354,7 +354,7 @@
         for id in late {
             self.drop_pushes(at, id, Ending::TimedOut, None);
         }
-        let cut = |job: &Job| job.over && job.out.iter().all(|(_, out, _)| !out) || now > job.cut_off + 1.0;
+        let cut = |job: &Job| job.over && job.out.iter().all(|(_, out, _)| !out) || now > job.deadline + 1.0;
         self.routers[at].jobs.retain(|_, job| !cut(job));
     }
 
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -111,7 +111,7 @@
 struct Job {
     request: Request,
     state: JobState,
-    cut_off: f64,
+    deadline: f64,
     /// An answer by then is in time, as the deployment states it.
     expected_at: f64,
     lane: u8,
@@ -297,11 +297,11 @@
         let (Some(job), Some(engine)) = (desk.jobs.get(&id), desk.engines.get(at)) else {
             return log::error!("a push of an unknown job or to an unknown engine: {id} to {at}");
         };
-        let open = matches!(job.state, JobState::Open { .. }) && job.cut_off > desk.now;
+        let open = matches!(job.state, JobState::Open { .. }) && job.deadline > desk.now;
         let another = (desk.deployment.copies || !job.out())
             && (job.pushes.len() as u32) < desk.deployment.most_pushes.max(1);
         let push = PushId { job: id, number: job.pushes.len() as u32 };
-        let until = time_out.map_or(job.cut_off, |wait| job.cut_off.min(desk.now + wait));
+        let until = time_out.map_or(job.deadline, |wait| job.deadline.min(desk.now + wait));
         let legal = open && another && engine.listing.stage == Stage::Ready;
         if legal {
             let ask = Ask {
@@ -430,7 +430,7 @@
     pub fn stop_at(&mut self, at: f64) {
         self.stops_at = at;
         self.gateway.stop_at(at);
-        self.desk.jobs.values_mut().for_each(|job| job.cut_off = job.cut_off.min(at));
+        self.desk.jobs.values_mut().for_each(|job| job.deadline = job.deadline.min(at));
     }
 
     /// This instance drains; tells until when it takes new jobs.
@@ -684,7 +684,7 @@
         // No client is to wait for longer, whatever it says: what is learned of usual ones would be upset.
         let longest = self.desk.deployment.categories[category].longest;
         let gives_up = since.unwrap_or(now) + request.patience.min(longest);
-        let cut_off = gives_up.min(self.stops_at);
+        let deadline = gives_up.min(self.stops_at);
         let id = self.next_job;
         self.next_job += 1;
         let taken = Taken {
@@ -693,7 +693,7 @@
             table_group: request.table_group.map_or(0, |group| (group as f64).to_bits()),
             cost: request.work,
             memory_mb: request.memory_mb,
-            cut_off: gives_up,
+            deadline: gives_up,
             team: self.teams.as_ref().map_or(0, |(_, names)| names.of(request.tenant.as_deref())),
             earlier,
         };
@@ -701,7 +701,7 @@
         let of = &self.desk.deployment.categories[category];
         let expected_at = since.unwrap_or(now) + of.expected_for(request.work.unwrap_or(0.0));
         let pushes = Vec::new();
-        let job = Job { request, state, cut_off, expected_at, lane: 1, grant_mb: 0.0, pushes, mark };
+        let job = Job { request, state, deadline, expected_at, lane: 1, grant_mb: 0.0, pushes, mark };
         self.desk.ids.insert(job.request.id.clone());
         self.desk.jobs.insert(id, job);
         self.desk.job_of.insert(session, id);
--- a/crates/router/src/routing/tests.rs
+++ b/crates/router/src/routing/tests.rs
@@ -232,7 +232,7 @@
 }
 
 #[test]
-fn an_unanswered_job_is_given_up_and_answered_at_its_cut_off() {
+fn an_unanswered_job_is_given_up_and_answered_at_its_deadline() {
     let mut host = Host::new();
     host.ask(4, Request { patience: 0.5, ..request("look") });
     for _ in 0..20 {
--- a/crates/router/tests/whole.rs
+++ b/crates/router/tests/whole.rs
@@ -350,7 +350,7 @@
     router.log.wait("stopping", 1);
     assert_eq!(Client::new(&router).ask(&job("look", 5000, "pages 2")), rows(2));
     assert_eq!(open.ask(&job("look", 5000, "x")), rows(1));
-    // Its cut-off lies far beyond the end.
+    // Its deadline lies far beyond the end.
     assert!(matches!(long.answer(), Answered::Error(1040, _)));
     let (code, counters) = router.ended();
     assert_eq!(code, Some(0));
@@ -418,7 +418,7 @@
     board.tell(true, &[engine.entry("ready")]);
     let router = Router::with(PROGRAM, &board, DESCRIPTORS, &[]);
     let mut client = Client::new(&router);
-    // Half a second passes while this waits for its cut-off.
+    // Half a second passes while this waits for its deadline.
     assert!(matches!(client.ask(&job("look", 500, "hold")), Answered::Error(1040, _)));
     let turns = counter(&client.counters("turned_back", 1), "turns");
     assert!(turns < 300, "{turns} turns");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -136,7 +136,7 @@
     pub table_group: u64,
     pub cost: Option<f64>,
     pub memory_mb: Option<f64>,
-    pub cut_off: f64,
+    pub deadline: f64,
     /// The line that it stands in while it is held, see [`queue`]; 0 where there are no teams.
     pub team: usize,
     /// When the same request was first pushed under another job, by us in a former life or by another: it may have run.
@@ -208,7 +208,7 @@
 pub trait Writer {
     /// Names the lane (0 to 3) and the memory for the job's pushes; zero MB leaves it to the engine.
     fn terms(&mut self, job: usize, lane: u8, memory_mb: f64);
-    /// Pushes a job; without a time-out it runs until the cut-off. It must have left by `leave_by`, or not at all: what
+    /// Pushes a job; without a time-out it runs until the deadline. It must have left by `leave_by`, or not at all: what
     /// repeats one that may have run is dropped as a repeat for a while only.
     fn push(&mut self, job: usize, engine: usize, time_out: Option<f64>, leave_by: f64);
     fn call_off(&mut self, job: usize, push: u32);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -332,10 +332,10 @@
     rests_until: f64,
 }
 
-/// What falls due: a job's cut-off or last sensible start; a push out for too long.
+/// What falls due: a job's deadline or last sensible start; a push out for too long.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
-    CutOff(usize),
+    Deadline(usize),
     TooLate(usize),
     Overdue(usize, usize),
     /// The window in which its receipt is known ends.
@@ -457,8 +457,8 @@
         // Also from those that never run: the heavy ones are turned back first.
         learned.work.add(work, f64::from(u8::from(taken.cost.is_some())), 0.99);
         // What has less time left than others of its category came late, or its client has tried before.
-        learned.longest_lead = learned.longest_lead.max(taken.cut_off - now);
-        let age = learned.longest_lead - (taken.cut_off - now);
+        learned.longest_lead = learned.longest_lead.max(taken.deadline - now);
+        let age = learned.longest_lead - (taken.deadline - now);
         let expected_at = now - age + category.expected_for(work);
         let density = category.credit / work.max(1e-3);
         self.density.add(density, work, 0.995);
@@ -466,7 +466,7 @@
         taken.key.into_iter().for_each(|key| self.keys.entry(key).or_default().jobs.push_back(id));
         // A job that comes too late for a drain is never held, so that nothing new is pushed.
         let closed = now >= self.takes_until;
-        self.due.extend(Some((rank(now), Due::CutOff(id))).filter(|_| closed));
+        self.due.extend(Some((rank(now), Due::Deadline(id))).filter(|_| closed));
         self.jobs.insert(id, job);
         if !closed {
             self.hold(now, id);
@@ -546,9 +546,9 @@
 
     fn time_ends(&mut self, id: usize, stop: f64) {
         let job = self.jobs.get_mut(&id).expect("a job that was taken");
-        (job.taken.cut_off, job.expected_at) = (job.taken.cut_off.min(stop), job.expected_at.min(stop));
+        (job.taken.deadline, job.expected_at) = (job.taken.deadline.min(stop), job.expected_at.min(stop));
         let job = &self.jobs[&id];
-        self.due.insert((rank(job.taken.cut_off), Due::CutOff(id)));
+        self.due.insert((rank(job.taken.deadline), Due::Deadline(id)));
         self.due.insert((rank(self.last_start(job)), Due::TooLate(id)));
     }
 
@@ -683,7 +683,7 @@
         while let Some((_, due)) = self.due.first().copied().filter(|&(at, _)| at <= rank(now)) {
             self.due.pop_first();
             match due {
-                Due::CutOff(id) => self.end(now, id, out),
+                Due::Deadline(id) => self.end(now, id, out),
                 Due::TooLate(id) => self.too_late(now, id, out),
                 Due::Overdue(id, push) => self.overdue(now, id, push, out),
                 Due::Expired(id) => self.end_if_stuck(now, id, out),
@@ -905,7 +905,7 @@
         let (Some(job), Some(engine)) = (self.jobs.get(&id), self.engines.get(at)) else { return false };
         let category = &self.given.categories[job.taken.category];
         // Rule 3: nothing new to a draining or gone engine.
-        if job.over || engine.at.stage != Stage::Ready || engine.cores == 0.0 || now >= job.taken.cut_off {
+        if job.over || engine.at.stage != Stage::Ready || engine.cores == 0.0 || now >= job.taken.deadline {
             return false;
         }
         // Rule 2: no second effect, and one push out unless copies are allowed.
@@ -1050,7 +1050,7 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.over = true;
         self.line.leave(id);
-        self.due.remove(&(rank(job.taken.cut_off), Due::CutOff(id)));
+        self.due.remove(&(rank(job.taken.deadline), Due::Deadline(id)));
         self.forget_if_done(id);
     }
 
@@ -1097,7 +1097,7 @@
             return None;
         }
         let slow = (self.median / self.learned[job.taken.category].pace()).max(1.0);
-        let (run, left) = (self.run_time(job) * slow, job.taken.cut_off - now);
+        let (run, left) = (self.run_time(job) * slow, job.taken.deadline - now);
         let early = (2.8 * run + 0.1 * self.quick).max(0.5 * (job.expected_at - now));
         // A job that holds its tables stands behind others that do, and would lose its place.
         let holds = self.given.categories[job.taken.category].holds_tables;
@@ -1110,7 +1110,7 @@
     fn too_late(&mut self, now: f64, id: usize, out: &mut dyn Writer) {
         let Some(job) = self.jobs.get(&id).filter(|job| !job.over && !job.out()) else { return };
         let late = job.density * self.given.categories[job.taken.category].late_share;
-        let last = job.taken.cut_off - self.run_time(job);
+        let last = job.taken.deadline - self.run_time(job);
         if late >= self.density.or(0.0) && now < last - 0.05 {
             self.due.insert((rank(last), Due::TooLate(id)));
             return;
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -119,8 +119,8 @@
     pub fn job(&mut self, category: usize, change: impl Fn(&mut Taken)) -> usize {
         let cost = Some(if category == 0 { 0.1 } else { 4.0 });
         let memory_mb = Some(if category == 0 { 50.0 } else { 1000.0 });
-        let cut_off = self.now + 10.0;
-        let mut taken = Taken { category, cost, memory_mb, cut_off, ..Taken::default() };
+        let deadline = self.now + 10.0;
+        let mut taken = Taken { category, cost, memory_mb, deadline, ..Taken::default() };
         change(&mut taken);
         self.gateway.job_taken(self.now, self.next_job, taken);
         self.next_job += 1;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -9,7 +9,7 @@
 // ---- the rules ----
 
 #[test]
-fn a_job_that_no_engine_can_take_is_answered_once_before_its_cut_off() {
+fn a_job_that_no_engine_can_take_is_answered_once_before_its_deadline() {
     let mut world = World::new(plain(), 0);
     let job = world.job(0, |_| ());
     world.pass(20.0);
@@ -19,7 +19,7 @@
 }
 
 #[test]
-fn a_job_whose_push_never_ends_is_answered_at_its_cut_off() {
+fn a_job_whose_push_never_ends_is_answered_at_its_deadline() {
     let mut world = World::new(plain(), 2);
     let job = world.job(0, |_| ());
     world.pass(20.0);
@@ -113,7 +113,7 @@
 #[test]
 fn a_job_has_no_more_pushes_than_are_allowed() {
     let mut world = World::new(plain(), 3);
-    let job = world.job(0, |taken| taken.cut_off += 50.0);
+    let job = world.job(0, |taken| taken.deadline += 50.0);
     for _ in 0..3 {
         world.round();
         world.over(job, Ending::Full, 0.0);
@@ -414,7 +414,7 @@
     let mut waits = |holds| {
         deployment.categories[1].holds_tables = holds;
         let mut world = World::new(deployment.clone(), 3);
-        world.job(1, |taken| taken.cut_off += 60.0);
+        world.job(1, |taken| taken.deadline += 60.0);
         world.round();
         world.book.time_outs[0].expect("a time-out")
     };
@@ -559,7 +559,7 @@
     world.over(early, Ending::Delivered, 0.1);
     // Frozen for two and a half seconds: the jobs that came meanwhile are late when they are seen.
     world.now += 2.5;
-    let late: Vec<usize> = (0..4).map(|_| world.job(0, |taken| taken.cut_off -= 2.5)).collect();
+    let late: Vec<usize> = (0..4).map(|_| world.job(0, |taken| taken.deadline -= 2.5)).collect();
     world.round();
     assert!(late.iter().all(|&job| world.engines_of(job).len() == 1));
 }
@@ -569,7 +569,7 @@
     let mut world = World::new(plain(), 1);
     let full: Vec<usize> = (0..8).map(|_| world.job(1, |_| ())).collect();
     world.round();
-    let late = world.job(1, |taken| taken.cut_off -= 2.0);
+    let late = world.job(1, |taken| taken.deadline -= 2.0);
     world.pass(1.0);
     assert_eq!(world.answers(late).len(), 1);
     assert!(full.iter().any(|&job| world.engines_of(job).is_empty() && world.answers(job).is_empty()));
@@ -654,7 +654,7 @@
     let holder = Category { holds_tables: true, ..category(9.0, 2.0, Effect::Pure) };
     deployment.categories.push(Category { expected_time: 8.0, ..holder });
     let mut world = World::new(deployment, 6);
-    let jobs: Vec<usize> = (0..5).map(|_| world.job(2, |taken| taken.cut_off += 20.0)).collect();
+    let jobs: Vec<usize> = (0..5).map(|_| world.job(2, |taken| taken.deadline += 20.0)).collect();
     let pushed = |world: &World| jobs.iter().filter(|&&job| !world.engines_of(job).is_empty()).count();
     world.round();
     assert_eq!(pushed(&world), 3);
@@ -796,7 +796,7 @@
 fn an_engine_that_stays_silent_stays_in_doubt() {
     let mut world = World::new(plain(), 2);
     world.pass(0.1);
-    let silent = world.job(1, |taken| taken.cut_off += 50.0);
+    let silent = world.job(1, |taken| taken.deadline += 50.0);
     world.round();
     let at = world.engines_of(silent)[0];
     // One push in all tells of it, long ago: nothing heavy goes there while it lasts.
@@ -829,7 +829,7 @@
 #[test]
 fn what_came_and_passed_while_we_had_no_turn_is_handled_at_once() {
     let mut world = World::new(plain(), 2);
-    let passed = world.job(1, |taken| taken.cut_off -= 9.0);
+    let passed = world.job(1, |taken| taken.deadline -= 9.0);
     world.round();
     world.now += 2.0;
     let draining = Listing { stage: Stage::Draining, ..listing(0) };
@@ -848,7 +848,7 @@
         let mut world = World::new(deployment, 1);
         // A slow spell: what is felt of peers there fills the engine long after it is over.
         for _ in 0..30 {
-            let job = world.job(0, |taken| taken.cut_off += 50.0);
+            let job = world.job(0, |taken| taken.deadline += 50.0);
             world.round();
             if !world.engines_of(job).is_empty() {
                 world.pass(1.0);
