A client that pings before any list and goes is let go; the last answer has its time at the end

Cause: Session::work returned from the branch that keeps a ping for later (not serving, idle) before it came to the line that closes a session whose client has ended: while discovery is down each such look at readiness left a session behind, up to half of the descriptors (a story on sockets: kept until now). And a job taken after the farewell had begun found its 0.1 s used up, so that the process could end in the turn of its answer; the time now counts from the last answer (story extended).

--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -228,6 +228,9 @@
             let (sequence, body) = (packet.sequence, packet.body.to_vec());
             if !serving && self.state == State::Idle && mysql::command(&body) == Ok(Command::Ping) {
                 (self.cut_short, self.begun_at) = (false, None);
+                if self.ended {
+                    self.state = State::Closed;
+                }
                 return Ok(None);
             }
             self.buffer.taken(mysql::HEADER + body.len());
--- a/crates/router/src/transport/sessions.rs
+++ b/crates/router/src/transport/sessions.rs
@@ -262,6 +262,8 @@
     }
 
     pub fn answer(&mut self, id: SessionId, answer: Answer, now: f64) {
+        // Its client is to have the time to read it, also at the end.
+        self.farewell_at = None;
         if let Some(session) = self.sessions.get_mut(&id) {
             session.answer(answer, now);
             self.again.push(id);
--- a/crates/router/src/transport/sessions/tests.rs
+++ b/crates/router/src/transport/sessions/tests.rs
@@ -135,7 +135,10 @@
     story.turn();
     assert_eq!(story.news.asked.len(), 2);
     story.sessions.answer(id, Answer::Terminated, story.now);
-    assert!(!story.sessions.farewell(story.now + 0.05));
+    // Its client has the same time for the last answer, though the first farewell is long over.
+    story.now += 5.0;
+    assert!(!story.sessions.farewell(story.now));
+    assert!(!story.sessions.farewell(story.now + 0.09));
     assert!(story.sessions.farewell(story.now + 0.11));
     asks.shutdown(Shutdown::Both).unwrap();
 }
@@ -147,3 +150,23 @@
     story.sessions.accept(story.now);
     assert_eq!((story.sessions.sessions.len(), story.sessions.counters.sessions_closed_for_room), (2, 0));
 }
+
+/// While discovery is down those that look whether the router is ready come and go: none of them is kept.
+#[test]
+fn one_that_pings_before_any_list_and_goes_is_let_go() {
+    let mut story = Story::new(8);
+    let (mut pings, id) = story.client();
+    pings.write_all(&packet(0, &[0x0e])).unwrap();
+    let mut news = News::default();
+    story.sessions.work(id, READABLE, false, story.now, &mut news);
+    assert!(story.sessions.sessions.contains_key(&id), "it waits for its answer");
+    drop(pings);
+    for _ in 0..2000 {
+        story.sessions.work(id, READABLE, false, story.now, &mut news);
+        if !story.sessions.sessions.contains_key(&id) {
+            return;
+        }
+        std::thread::sleep(std::time::Duration::from_millis(1));
+    }
+    panic!("it is kept");
+}
