Few gateways see no crowd in estimates that no answer corrects

Cause, by a trial with a line for each push's end and each job turned back: the engines held 0.06 to 0.25 of our threads a core, and were believed to hold 3 to 5 of our peers' (belief 3.2, limit 1.2): answers tell no work there (tells_cost false), light jobs are estimated at 0.01 s and take 0.3, and push_over took each such pace (26, capped at 8, times Room::USUAL) for a crowd. The median pace and all engines' doubt were sound; the list and the cold ramp were ruled out by the same lines. Change: where no answer tells work and gateways are no more than an engine's cores, the pace is taken against its least of late (untold, least) and weighed by work. Nothing changes where answers tell work: the three sites' ways are the same.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -190,9 +190,29 @@
     pace: Mean,
     quarter_pace: Mean,
     longest_lead: f64,
+    /// Where answers tell no work: the pace by estimates alone, its least of late, and how many told.
+    untold: Mean,
+    least: f64,
+    answers: u32,
 }
 
 impl Learned {
+    /// How much of the low pace is followed down and up with each answer, and by how many it is known.
+    const FALLS: f64 = 0.05;
+    const RISES: f64 = 0.005;
+    const KNOWN: u32 = 10;
+
+    /// The pace against the least of late: estimates that no answer corrects may be far off for a category.
+    fn against_least(&mut self, pace: f64, work: f64) -> Option<f64> {
+        self.answers += 1;
+        self.untold.add(pace, work, 0.98);
+        let (mean, least) = (self.untold.or(pace), self.least);
+        let follows = if mean < least { Self::FALLS } else { Self::RISES };
+        let known = self.answers > Self::KNOWN;
+        self.least = if known { least + follows * (mean - least) } else { mean };
+        known.then_some(pace / self.least.max(1e-3))
+    }
+
     fn spill_factor(&self) -> f64 {
         let known = self.quarter_pace.weight.min(self.pace.weight) >= 3.0;
         let ratio = self.quarter_pace.or(2.0) / self.pace.or(1.0);
@@ -585,18 +605,30 @@
         // A gateway without a turn for a while cannot tell when answers came: their times are no evidence.
         let stalled = now > self.next_tick + TICK;
         let pace = if stalled { learned.pace() } else { end.spent * threads / work.max(1e-3) };
+        // Among few gateways our own threads are much of what stands there, and the least pace is soon met.
+        // Many that all know little must rather believe a crowd that is not there than none.
+        let cores = self.engines.get(end.engine).map_or(0.0, |engine| engine.cores);
+        let untold = learned.work_by_cost.told.weight == 0.0
+            && job.taken.cost.is_some()
+            && self.given.gateways <= cores;
+        let delivered = end.ending == Ending::Delivered;
+        let evidence = delivered && !quarter && !stalled;
+        let against = (untold && evidence).then(|| learned.against_least(pace, work)).flatten();
+        let stood = if untold { against } else { Some(pace) };
         if let Some(engine) = self.engines.get_mut(end.engine) {
             // The jobs that it tells of have as many threads each as ours; else pace is about threads a core.
             let others =
                 end.load.jobs.map(|all| (all - f64::from(engine.pushes)) * self.threads_each.or(1.0));
             let ran = matches!(end.ending, Ending::Delivered | Ending::TimedOut | Ending::CalledOff);
-            let felt = Room::USUAL * pace.min(8.0) * engine.cores - engine.threads;
-            let felt = Some(felt).filter(|_| ran && !quarter && !stalled && self.given.gateways > 1.0);
+            let felt = stood.map(|pace| Room::USUAL * pace.min(8.0) * engine.cores - engine.threads);
+            let felt = felt.filter(|_| ran && !quarter && !stalled && self.given.gateways > 1.0);
             engine.room.tells |= others.is_some();
             self.median = self.median.max(0.5) * if pace > self.median { 1.04 } else { 0.96 };
             if let Some(threads) = others.or(felt) {
-                engine.room.peers.add(threads / engine.cores, 1.0, 0.8);
-                self.crowd.add(threads / engine.cores, 1.0, 0.9);
+                // One estimate that no answer corrects may be off by ten times; their sum is not.
+                let weight = if untold { (work / learned.work.or(work)).min(3.0) } else { 1.0 };
+                engine.room.peers.add(threads / engine.cores, weight, 0.8);
+                self.crowd.add(threads / engine.cores, weight, 0.9);
             }
             if end.load.memory_waits.is_some_and(|waits| waits >= 1.0) {
                 engine.ledger.shrink(now);
@@ -615,7 +647,9 @@
             engine.doubt.add(category, good, bad, own);
             if good > 0.0 {
                 engine.last_answer = now;
-                engine.pace.add(pace, work, 0.9);
+                if let Some(pace) = stood {
+                    engine.pace.add(pace, work, 0.9);
+                }
                 engine.best_pace = Some(engine.best_pace.unwrap_or(pace).min(engine.pace.or(pace)) * 1.001);
             }
             let slowed = engine.best_pace.is_some_and(|best| good > 0.0 && engine.pace.or(1.0) > 2.5 * best);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -1197,3 +1197,46 @@
     world.pass(0.1);
     assert_eq!(again(&world), 5);
 }
+
+/// Hard case: answers tell no work, and the estimates of light jobs are far too low, single ones by twenty times. Six
+/// gateways before engines that stand all but idle must not believe in a crowd there and turn the heavy jobs back.
+#[test]
+fn few_gateways_see_no_crowd_in_estimates_that_no_answer_corrects() {
+    let mut deployment = plain();
+    deployment.gateways = 6.0;
+    deployment.kinds = vec![Kind { cores: 16.0, memory_mb: 32000.0 }];
+    deployment.categories[1].threads = 3.0;
+    let mut world = World::new(deployment, 4);
+    let off = [0.05, 0.6, 0.1, 0.3];
+    let mut heavy = Vec::new();
+    for round in 0..200 {
+        // A light job that needs 0.3 s, whatever is said of it; now and then a heavy one that is said to need 3 s, and does.
+        let group = round as u64 % 40;
+        let light =
+            world.job(0, |taken| (taken.cost, taken.table_group) = (Some(0.3 * off[round % 4]), group));
+        heavy.extend(
+            (round % 20 == 19)
+                .then(|| world.job(1, |taken| (taken.cost, taken.table_group) = (Some(3.0), group))),
+        );
+        world.round();
+        world.now += 0.3;
+        if !world.engines_of(light).is_empty() {
+            world.over(light, Ending::Delivered, 0.3);
+        }
+        world.pass(0.1);
+        for job in heavy.clone() {
+            let out = world.engines_of(job).len() == 1;
+            let since = world
+                .book
+                .wrote
+                .iter()
+                .find(|(_, what)| matches!(what, Wrote::Push { job: of, .. } if *of == job));
+            if out && since.is_some_and(|(at, _)| world.now >= at + 1.2) {
+                world.over(job, Ending::Delivered, 1.2);
+                heavy.retain(|other| *other != job);
+            }
+        }
+    }
+    let turned_back = world.book.wrote.iter().filter(|(_, what)| matches!(what, Wrote::TurnBack(_))).count();
+    assert_eq!(turned_back, 0, "of 200 light jobs and 10 heavy ones");
+}
