Three checks that could not fail, or hardly, now can

Found on reading the whole change again, each by taking its defence away: - an_end_behind_bytes…: 200 queries behind the open one all but fitted the session's buffer, and the story passed without the look for a hang-up. 400 do not fit, which it asserts; without the look it fails. - all_gateways_together…: the part of the budget was that of the window furthest over chance, which is the first one, when nothing was sent; and a crowd felt from slow answers held the gateways back before the budget could. Answers are quick now, the largest part is taken, every play must use the cold engine and restarts are counted. A comment in Sessions::open had moved to the wrong line.

--- a/crates/router/src/transport/sessions.rs
+++ b/crates/router/src/transport/sessions.rs
@@ -81,8 +81,8 @@
             sessions: HashMap::new(),
             most,
             longest: (memory / 4 / most).clamp(LEAST, LONGEST),
-            // A kill meant for a session of the router before us must not meet one of ours.
             next: None,
+            // A kill meant for a session of the router before us must not meet one of ours.
             next_id: RandomState::new().hash_one(listen) as SessionId,
             accepts: false,
             paused: false,
--- a/crates/router/tests/crossings.rs
+++ b/crates/router/tests/crossings.rs
@@ -85,7 +85,9 @@
     client.send(&job("look", 20000, "hidden"));
     let mut witness = Client::new(&router);
     witness.counters("open", 1);
-    client.stream.write_all(&query(&job("look", 20000, "x")).repeat(200)).unwrap();
+    let behind = query(&job("look", 20000, "x")).repeat(400);
+    assert!(behind.len() > 24 * 1024, "more than the buffer holds");
+    client.stream.write_all(&behind).unwrap();
     drop(client);
     // Those behind it that are read before its end are begun no more than itself.
     let counters = witness.counters("sessions_open", 1);
@@ -290,7 +292,11 @@
     router.log.wait("stopping", 1);
     board.address = vacant();
     let program = std::path::Path::new(PROGRAM);
-    let next = Router::at(router.address, program, &board, 256, &[], |text| text);
+    let at = (board.address, &board);
+    let next = Router::spawned(router.address, program, at, 256, &[], &[], |text| text);
+    next.log.wait("starts, version", 1);
+    assert_eq!(router.over(), None, "the one before it still holds the port");
+    next.log.wait("listens on", 1);
     assert!(matches!(long.answer(), Answered::Error(1040, _)), "it had its answer from the one before");
     let begun = Instant::now();
     let mut client = Client::new(&next);
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -23,11 +23,14 @@
     seed: u64,
 }
 
-/// The worst window of the cold engine: what it got beyond its budget, over what may be chance, in calls of mean work.
+/// What the cold engine got in its worst windows: calls of mean work beyond its budget and what may be chance, and the
+/// largest part of its budget.
 fn worst(play: &Play) -> (f64, f64) {
     const WORK: [f64; 2] = [0.1, 6.0];
     const SHARES: [f64; 2] = [0.9, 0.1];
     let mean = WORK[0] * SHARES[0] + WORK[1] * SHARES[1];
+    // So quick that no gateway feels a crowd: what holds them back is the cold engine's budget alone.
+    const PACE: f64 = 0.4;
     let (cores, engines) = (16.0, 1);
     let mut deployment = plain();
     deployment.gateways = play.gateways as f64;
@@ -46,7 +49,8 @@
     let mut out: Vec<VecDeque<(f64, usize, f64)>> = vec![VecDeque::new(); play.gateways];
     let mut costs: Vec<Vec<f64>> = vec![Vec::new(); play.gateways];
     let mut sent: VecDeque<(f64, f64)> = VecDeque::new();
-    let mut most: (f64, f64) = (0.0, 0.0);
+    let mut most: (f64, f64) = (f64::NEG_INFINITY, 0.0);
+    let mut restarted = 0;
     let step = 0.05;
     for tick in 0..200 {
         let now = begun + f64::from(tick) * step;
@@ -61,6 +65,7 @@
                     world.now = now;
                     world.gateway.engines_listed(now, &[fresh], false);
                     (out[at], costs[at]) = Default::default();
+                    restarted += 1;
                 }
             }
         }
@@ -69,7 +74,7 @@
             let done: Vec<_> = out[at].iter().copied().filter(|(end, ..)| *end <= now).collect();
             out[at].retain(|(end, ..)| *end > now);
             for (_, job, work) in done {
-                world.tell(job, 1.5 * work, work, 100.0);
+                world.tell(job, PACE * work, work, 100.0);
             }
             let mut left = if at < play.busy { rate * step } else { 0.0 };
             while left > 0.0 && draw(&mut seed) < left {
@@ -87,7 +92,7 @@
             for (_, what) in wrote {
                 if let Wrote::Push { job, engine, .. } = what {
                     let work = costs[at][job];
-                    out[at].push_back((now + 1.5 * work, job, work));
+                    out[at].push_back((now + PACE * work, job, work));
                     if engine == 0 {
                         sent.push_back((now, work));
                     }
@@ -99,16 +104,14 @@
         let warmth = (cold.from + (1.0 - cold.from) * (now - begun) / cold.warm_after).min(1.0);
         let budget = cold.multiple * cores * warmth * cold.window / mean;
         let over = calls - (budget + 2.0 * budget.sqrt() + 2.0);
-        if tick == 0 || over > most.0 {
-            most = (over, calls / budget);
-        }
+        most = (over.max(most.0), most.1.max(calls / budget));
     }
+    assert_eq!(restarted > 0, play.restart);
     most
 }
 
 #[test]
 fn all_gateways_together_keep_a_cold_engines_budget() {
-    let mut used = 0;
     for gateways in [1usize, 3, 8, 20, 30, 120] {
         for (busy, estimates, restart) in [
             (gateways, true, false),
@@ -122,9 +125,8 @@
                 let play = Play { gateways, busy, estimates, restart, seed };
                 let (over, share) = worst(&play);
                 assert!(over <= 0.0, "{play:?}: {over:.1} calls beyond chance, {share:.2} of the budget");
-                used += usize::from(share > 0.1);
+                assert!(share > 0.0, "{play:?}: the cold engine had no work");
             }
         }
     }
-    assert!(used > 20, "the cold engine had work in {used} plays only");
 }
