A client that takes its answer by and by keeps its session for 30 s at most

The issue names slow clients that take a byte now and then; no story was there. Change: an answer is taken whole within 30 s, longer than any client waits for it.

--- a/crates/router/src/transport/client.rs
+++ b/crates/router/src/transport/client.rs
@@ -16,6 +16,8 @@
 const LOGIN: f64 = 2.5;
 const PACKET: f64 = 2.5;
 const STALLED: f64 = 10.0;
+/// A whole answer is taken within this, however many bytes come off it now and then: longer than any client waits for it.
+const TAKEN: f64 = 30.0;
 const CLOSING: f64 = 1.0;
 /// What has begun and not come further for so long is closed for room before any other.
 const DAWDLES: f64 = 0.5;
@@ -65,6 +67,8 @@
     pub malformed: bool,
     /// When it last did something.
     pub since: f64,
+    /// Since when an answer is seen not to be taken whole.
+    unsent_since: Option<f64>,
     /// When its login, the packet that is coming in, or its closing began.
     begun_at: Option<f64>,
 }
@@ -108,6 +112,7 @@
             closes_after: false,
             malformed: false,
             since: now,
+            unsent_since: None,
             begun_at: Some(now),
         };
         session.send(|out, _| mysql::greeting(out, id, random()));
@@ -194,7 +199,10 @@
             _ => PACKET,
         };
         let late = self.begun_at.is_some_and(|begun| now > begun + limit);
-        if late || self.buffer.unsent() > 0 && now > self.since + STALLED {
+        let unsent = self.buffer.unsent() > 0;
+        self.unsent_since = unsent.then(|| self.unsent_since.unwrap_or(now));
+        let deaf = self.unsent_since.is_some_and(|begun| now > begun + TAKEN);
+        if late || deaf || unsent && now > self.since + STALLED {
             self.state = State::Closed;
         }
     }
@@ -354,6 +362,7 @@
     fn idle(&mut self, write: impl FnOnce(&mut Vec<u8>, &mut u8)) {
         // What came behind the request is still to be looked at.
         (self.state, self.cut_short) = (State::Idle, !self.buffer.input().is_empty());
+        self.unsent_since = None;
         self.send(write);
         if self.closes_after {
             self.close_after();
--- a/crates/router/src/transport/sessions/tests.rs
+++ b/crates/router/src/transport/sessions/tests.rs
@@ -170,3 +170,31 @@
     }
     panic!("it is kept");
 }
+
+/// A client that takes some bytes of its answer now and then keeps its session no longer than an answer may take.
+#[test]
+fn one_that_takes_its_answer_by_and_by_has_only_so_long() {
+    let mut story = Story::new(8);
+    let (mut slow, id) = story.client();
+    slow.write_all(&query(&job("look", 5000, "x"))).unwrap();
+    while story.news.asked.is_empty() {
+        story.turn();
+    }
+    // More than the system holds for the two.
+    let row = [vec![b'x'; 5900], b"\tone\ttwo\n".to_vec()].concat();
+    story.sessions.answer(id, Answer::Delivered(row.repeat(4000)), story.now);
+    let mut bytes = vec![0; 1 << 16];
+    let (mut taken, begun) = (0, story.now);
+    while story.sessions.sessions.contains_key(&id) {
+        assert!(story.now < begun + 40.0, "it is kept, {taken} bytes taken");
+        taken += slow.read(&mut bytes).unwrap();
+        story.turn();
+        let session = story.sessions.sessions.get(&id).unwrap();
+        assert!(session.unsent() > 0, "the answer is not taken whole");
+        assert_eq!(session.since, story.now, "it is no stalled one");
+        story.now += 1.0;
+        let (now, news) = (story.now, &mut story.news);
+        story.sessions.sweep(now, news);
+    }
+    assert!(story.now >= begun + 30.0, "closed after {} s", story.now - begun);
+}
