--- a/review/stand-ins/src/lib.rs
+++ b/review/stand-ins/src/lib.rs
@@ -106,10 +106,15 @@
 
     /// Starts an engine stand-in as a process of its own. Its lines go into the record and into `lines`.
     pub fn start_engine(&self, name: &str, work_s: f64, lines: &Lines) -> (Process, SocketAddr) {
+        self.start_engine_with(name, &[work_s.to_string()], lines)
+    }
+
+    /// As `start_engine`, with further arguments of the stand-in.
+    pub fn start_engine_with(&self, name: &str, arguments: &[String], lines: &Lines) -> (Process, SocketAddr) {
         let program = std::env::current_exe().unwrap().with_file_name("engine");
         let mut child = Command::new(program)
             .arg(name)
-            .arg(work_s.to_string())
+            .args(arguments)
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()
