--- a/review/stand-ins/src/lib.rs
+++ b/review/stand-ins/src/lib.rs
@@ -458,3 +458,86 @@
         out
     }
 }
+
+/// A connection whose client writes login and statement at once, before it has read the greeting.
+pub struct Early {
+    stream: TcpStream,
+    bytes: Vec<u8>,
+}
+
+impl Early {
+    /// Connects and writes the login.
+    pub fn login(address: SocketAddr) -> io::Result<Early> {
+        let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(2))?;
+        stream.set_nodelay(true)?;
+        let mut login = Vec::from((1u32 | 1 << 3 | 1 << 9 | 1 << 15).to_le_bytes());
+        login.extend((1u32 << 24).to_le_bytes());
+        login.push(45);
+        login.extend([0; 23]);
+        login.extend(b"app\0\0reports\0");
+        let mut out = Vec::from(&(login.len() as u32).to_le_bytes()[..3]);
+        out.push(1);
+        out.extend(login);
+        stream.write_all(&out)?;
+        Ok(Early { stream, bytes: Vec::new() })
+    }
+
+    /// Writes a statement.
+    pub fn query(&mut self, statement: &str) -> io::Result<()> {
+        let mut out = Vec::from(&(statement.len() as u32 + 1).to_le_bytes()[..3]);
+        out.extend([0, 3]);
+        out.extend(statement.bytes());
+        self.stream.write_all(&out)
+    }
+
+    /// Connects, and writes login and statement at once.
+    pub fn send(address: SocketAddr, statement: &str) -> io::Result<Early> {
+        let mut early = Early::login(address)?;
+        early.query(statement)?;
+        Ok(early)
+    }
+
+    /// The bodies of the packets that have come whole.
+    fn packets(&self) -> Vec<&[u8]> {
+        let mut rest = &self.bytes[..];
+        let mut packets = Vec::new();
+        while rest.len() >= 4 {
+            let length = u32::from_le_bytes([rest[0], rest[1], rest[2], 0]) as usize;
+            let Some(body) = rest.get(4..4 + length) else { break };
+            packets.push(body);
+            rest = &rest[4 + length..];
+        }
+        packets
+    }
+
+    /// Reads for so many seconds. Returns whether an answer has begun, behind the greeting and the answer to the login, or
+    /// the connection has ended.
+    pub fn answered_within(&mut self, seconds: f64) -> bool {
+        let until = Instant::now() + Duration::from_secs_f64(seconds);
+        let mut chunk = [0; 4096];
+        loop {
+            if self.packets().len() > 2 {
+                return true;
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return false;
+            }
+            let _ = self.stream.set_read_timeout(Some(left));
+            match self.stream.read(&mut chunk) {
+                Ok(0) => return true,
+                Ok(length) => self.bytes.extend(&chunk[..length]),
+                Err(error) if matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {}
+                Err(_) => return true,
+            }
+        }
+    }
+
+    /// The connection id of the greeting, if that has come.
+    pub fn id(&self) -> Option<u32> {
+        let packets = self.packets();
+        let greeting = packets.first()?;
+        let start = greeting.iter().skip(1).position(|byte| *byte == 0)? + 2;
+        Some(u32::from_le_bytes(greeting.get(start..start + 4)?.try_into().ok()?))
+    }
+}
