review: case 3 lets the usual clients be served before the bad ones come

Cause: on one core the bad clients came before any usual client was served, and the case could not run.

--- a/review/stand-ins/src/bin/case_3.rs
+++ b/review/stand-ins/src/bin/case_3.rs
@@ -130,7 +130,9 @@
             }
         }));
     }
+    sleep(1.0);
     if case.trouble {
+        record.line(format!("{BAD_CLIENTS} bad clients come, each with {AT_ONCE} requests at once"));
         for bad in 0..BAD_CLIENTS {
             let (stop, sent, record) = (stop.clone(), sent.clone(), record.clone());
             threads.push(thread::spawn(move || {
