Rule 2: an attempt keeps its engine's listing, so repeats stay in its zone or cell

Cause: EngineRegistry gives the index of a gone engine to the next new one once no attempt is in flight there, and Gateway::recognises_repeat read the zone and cell of an ended attempt from the engine that has this index now. An engine that comes back under its own name in another zone shows the same without any reuse, so a fix in the registry alone would not do.

Change: Attempt::sent_to is the engine's listing at the time of the dispatch; rule 2 compares with that. On the same cause, was_attempted in the rank compares engine names and not indices; the walk in src/decision/tests.rs that the index is compared with defines it alike. Indices of attempts in flight are never reused (engines_in_use), so the other readers of Attempt::engine are sound.

--- a/crates/router/src/routing/tests.rs
+++ b/crates/router/src/routing/tests.rs
@@ -91,8 +91,19 @@
 }
 
 impl Harness {
-    /// Routing with two engines, an idempotent class `look`, and a deduplicated class `load`.
+    /// Routing with two engines, an idempotent class `look`, and a class `load` that all engines deduplicate.
     fn new() -> Harness {
+        let idempotency = Idempotency::Deduplicated { scope: DeduplicationScope::All, window: 12.0 };
+        let mut harness = Harness::without_engines(idempotency);
+        harness.turn(TurnInput {
+            list_events: vec![list(1, true, vec![entry("a", 1), entry("b", 2)])],
+            ..TurnInput::default()
+        });
+        harness
+    }
+
+    /// Routing that knows no engines, with an idempotent class `look`, and a class `load` with the given idempotency.
+    fn without_engines(load_idempotency: Idempotency) -> Harness {
         let class = RequestClass {
             value: 1.0,
             late_value_share: 0.0,
@@ -107,10 +118,10 @@
             allowed_zones: None,
             allowed_kinds: None,
         };
-        let idempotency = Idempotency::Deduplicated { scope: DeduplicationScope::All, window: 12.0 };
+        let load = RequestClass { idempotency: load_idempotency, ..class.clone() };
         let deployment = Deployment {
             gateways: 1.0,
-            classes: vec![class.clone(), RequestClass { idempotency, ..class }],
+            classes: vec![class, load],
             engine_kinds: vec![EngineKind { cores: 8.0, memory_mb: 8000.0 }],
             max_memory_share: 0.5,
             honours_grants: true,
@@ -123,13 +134,7 @@
         let tenants = vec!["town".to_string()];
         let names = Names { classes, tenants, kinds: vec!["std".to_string()], ..Names::default() };
         let routing = Routing::new(deployment, names, 7, 100.0);
-        let mut harness =
-            Harness { routing, connections: ScriptedConnections::default(), now: 100.0, refused: Vec::new() };
-        harness.turn(TurnInput {
-            list_events: vec![list(1, true, vec![entry("a", 1), entry("b", 2)])],
-            ..TurnInput::default()
-        });
-        harness
+        Harness { routing, connections: ScriptedConnections::default(), now: 100.0, refused: Vec::new() }
     }
 
     /// Runs a turn, which also reports the ends of cancelled attempts. Returns when the next turn is due.
@@ -395,6 +400,39 @@
     assert_eq!(harness.connections.answers.len(), 1);
 }
 
+/// Guards against a second effect in another zone: the registry gives the index of an engine that is gone to a new
+/// engine in another zone while a request that may have run on the former one waits for an engine of its zone.
+#[test]
+fn a_new_engine_in_another_zone_gets_no_repeat_of_a_request_of_a_gone_engine() {
+    let idempotency = Idempotency::Deduplicated { scope: DeduplicationScope::Zone, window: 12.0 };
+    let mut harness = Harness::without_engines(idempotency);
+    let in_zone = |uid: &str, port, zone: &str, stage| EngineEntry {
+        zone: zone.to_string(),
+        stage,
+        ..entry(uid, port)
+    };
+    let input = |event| TurnInput { list_events: vec![event], ..TurnInput::default() };
+    harness.turn(input(list(1, true, vec![in_zone("a", 1, "north", EngineStage::Ready)])));
+    let keyed = ParsedStatement {
+        idempotency_key: Some("5c0f6e1a".to_string()),
+        time_to_live: 20.0,
+        ..statement("load")
+    };
+    harness.send(4, keyed);
+    assert_eq!(harness.connections.attempts.len(), 1);
+    harness.turn(input(list(2, false, vec![in_zone("a", 1, "north", EngineStage::Gone)])));
+    harness.end_last_attempt(Err(DeliveryFailure::Unanswered));
+    harness.turn(input(list(3, false, vec![in_zone("b", 2, "south", EngineStage::Ready)])));
+    assert_eq!(harness.routing.state.engines.len(), 1, "the new engine has the index of the gone one");
+    harness.turn(TurnInput::default());
+    assert_eq!(harness.connections.attempts.len(), 1, "{:?}", harness.connections.attempts);
+    // An engine of the first one's zone recognises the repeat.
+    harness.turn(input(list(4, false, vec![in_zone("c", 3, "north", EngineStage::Ready)])));
+    harness.turn(TurnInput::default());
+    let engines: Vec<u64> = harness.connections.attempts.iter().map(|(_, engine, _)| *engine).collect();
+    assert_eq!(engines, [1, 3]);
+}
+
 #[test]
 fn every_request_has_its_answer_before_the_router_stops() {
     let mut harness = Harness::new();
--- a/src/decision/engine_selection.rs
+++ b/src/decision/engine_selection.rs
@@ -236,7 +236,8 @@
     fn rank(&self, criteria: &Criteria, index: usize) -> (bool, u64, bool, u64, u64) {
         let engine = &self.engines.states[index];
         let attempts = &self.requests.open[&criteria.request].attempts;
-        let was_attempted = attempts.iter().any(|attempt| attempt.engine == index);
+        let was_attempted =
+            attempts.iter().any(|attempt| attempt.sent_to.name_hash == engine.listing.name_hash);
         let own_threads = order_key(engine.threads / engine.cores);
         let is_first_contact = criteria.threads_of_all_gateways > engine.cores && engine.best_pace.is_none();
         let peer_threads = order_key(self.load.peer_threads_on(engine));
@@ -263,6 +264,7 @@
         let number = request.attempts.len();
         request.attempts.push(Attempt {
             engine: index,
+            sent_to: self.engines.states[index].listing,
             sent_at: now,
             grant: grant.memory,
             is_quarter_grant: grant.is_quarter_grant,
--- a/src/decision/rules.rs
+++ b/src/decision/rules.rs
@@ -64,7 +64,8 @@
     fn recognises_repeat(&self, request: &RequestState, engine: &EngineState) -> bool {
         let may_have_run = |attempt: &&Attempt| !attempt.never_ran;
         let in_scope = |attempt: &Attempt| {
-            let earlier = &self.engines.states[attempt.engine].listing;
+            // Not the current listing: the engine may have been replaced since, under the same index.
+            let earlier = &attempt.sent_to;
             match self.deployment.classes[request.incoming.class].idempotency {
                 Idempotency::Deduplicated { scope: DeduplicationScope::Zone, .. } => {
                     earlier.zone == engine.listing.zone
--- a/src/decision/tests.rs
+++ b/src/decision/tests.rs
@@ -81,7 +81,9 @@
         gateway.has_capacity(class_index, engine(index), is_light)
             || may_use_fair_share && is_fair_share_free(index)
     });
-    let was_attempted = |index: &usize| request.attempts.iter().any(|attempt| attempt.engine == *index);
+    let was_attempted = |index: &usize| {
+        request.attempts.iter().any(|attempt| attempt.sent_to.name_hash == engine(index).listing.name_hash)
+    };
     let rank = |index: &&usize| {
         let own_threads = order_key(engine(index).threads / engine(index).cores);
         let peer_threads = order_key(gateway.load.peer_threads_on(engine(index)));
--- a/src/request_state.rs
+++ b/src/request_state.rs
@@ -2,13 +2,16 @@
 //! no tuned value.
 
 use crate::statistics::order_key;
-use crate::IncomingRequest;
+use crate::{EngineListing, IncomingRequest};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// One attempt of a request.
 #[derive(Default)]
 pub(crate) struct Attempt {
+    /// The engine's index. Once the attempt has ended, the host may give the index to another engine.
     pub engine: usize,
+    /// The engine's entry in the engine list when the attempt was sent.
+    pub sent_to: EngineListing,
     pub sent_at: f64,
     /// The memory granted to the attempt, in megabytes.
     pub grant: f64,
--- a/tests/retries.rs
+++ b/tests/retries.rs
@@ -54,6 +54,87 @@
     assert_eq!(host.answers(late)[0].1, WrittenAction::Fail(late));
 }
 
+/// A deployment whose class 0 is deduplicated within a zone or cell for 20 s.
+fn deduplicated_deployment(scope: DeduplicationScope) -> Deployment {
+    let mut deployment = two_class_deployment();
+    deployment.classes[0].idempotency = Idempotency::Deduplicated { scope, window: 20.0 };
+    deployment.classes[0].latency_objective = 8.0;
+    deployment
+}
+
+/// A host with one engine, which received a request and then lost its connection, so that it may have run the request.
+/// `replace` gives the listing that the engine's index has afterwards; an engine of the first one's zone and cell is
+/// listed last. Returns the engines of the request's attempts before and after that engine was listed.
+fn attempts_after_replacement(
+    scope: DeduplicationScope,
+    replace: impl Fn(EngineListing) -> EngineListing,
+) -> (Vec<usize>, Vec<usize>) {
+    let mut host = TestHost::new(deduplicated_deployment(scope), 0);
+    let first = EngineListing { zone: 1, cell: 1, ..listing(0) };
+    host.gateway.engines_listed(host.now, &[first], true);
+    let request = host.request(0, |incoming| incoming.deadline += 10.0);
+    host.round();
+    host.attempt_ended(request, AttemptOutcome::ConnectionLost, 0.1);
+    let gone = EngineListing { stage: EngineStage::Gone, ..first };
+    host.gateway.engines_listed(host.now, &[gone], false);
+    host.advance(0.2);
+    host.gateway.engines_listed(host.now, &[replace(first)], false);
+    host.advance(1.0);
+    let before = host.engines_of(request);
+    let same_group = EngineListing { zone: 1, cell: 1, ..listing(5) };
+    host.gateway.engines_listed(host.now, &[same_group], false);
+    host.advance(1.0);
+    (before, host.engines_of(request))
+}
+
+/// Guards against a repeat in a second zone or cell: the index of an engine that is gone is given to a new engine, or
+/// the engine itself comes back elsewhere, and an earlier attempt then seems to have run in the new zone or cell.
+#[test]
+fn a_repeat_stays_in_the_group_of_its_first_attempt_when_that_engine_index_is_listed_elsewhere() {
+    for scope in [DeduplicationScope::Zone, DeduplicationScope::Cell] {
+        let other_engine = |first: EngineListing| EngineListing {
+            zone: 2,
+            cell: 2,
+            name_hash: first.name_hash + 1,
+            ..first
+        };
+        let moved_engine =
+            |first: EngineListing| EngineListing { zone: 2, cell: 2, started_at: Some(100.2), ..first };
+        let same_group = vec![0, 5];
+        assert_eq!(
+            attempts_after_replacement(scope, other_engine),
+            (vec![0], same_group.clone()),
+            "{scope:?}"
+        );
+        assert_eq!(attempts_after_replacement(scope, moved_engine), (vec![0], same_group), "{scope:?}");
+    }
+}
+
+/// Guards against a retry on the same engine for want of an untried one: a new engine with the index of one that failed
+/// the request must not count as attempted before.
+#[test]
+fn an_engine_with_the_index_of_one_that_failed_the_request_counts_as_untried() {
+    for seed in 0..20 {
+        let mut deployment = two_class_deployment();
+        deployment.max_attempts = 4;
+        let mut host = TestHost::seeded(deployment, 2, seed);
+        let request = host.request(0, |_| ());
+        host.round();
+        let failed = host.engines_of(request)[0];
+        host.attempt_ended(request, AttemptOutcome::NeverSent, 0.1);
+        host.round();
+        let retried = host.engines_of(request)[1];
+        assert_ne!(failed, retried);
+        // The failed engine is replaced. Of its successor and the engine of the second attempt, only the latter was
+        // tried.
+        let successor = EngineListing { name_hash: 7, ..listing(failed) };
+        host.gateway.engines_listed(host.now, &[successor], false);
+        host.attempt_ended(request, AttemptOutcome::NeverSent, 0.1);
+        host.round();
+        assert_eq!(host.engines_of(request), [failed, retried, failed], "seed {seed}");
+    }
+}
+
 /// Rule 2 at the end of a short window: a repeat is dispatched only if it can still reach its engine within the window,
 /// and the host is told the time by which it must have been sent. If it was not sent by then, the request is answered
 /// at once. The window starts with the first attempt that may have run.
