Slow start: work sent to a former engine is not charged to the next one at its index

Change: EngineState::restart clears slow_start_work if the name differs. For an engine that restarts under its name the work goes on counting, as before.

Test: the_slow_start_work_of_a_former_engine_... failed before ("left: 1.05 right: 0.0").

--- a/src/decision/engine_state.rs
+++ b/src/decision/engine_state.rs
@@ -47,9 +47,12 @@
 }
 
 impl EngineState {
-    /// Resets the state of an engine that is new or has restarted. All estimates are discarded; attempts in flight
-    /// remain counted.
-    pub fn restart(&mut self, kind: Option<&EngineKind>, gateways: f64, now: f64) {
+    /// Resets the state for an engine that is new at this index or has restarted. All estimates are discarded; attempts
+    /// in flight remain counted, and so does the work that was sent to the same engine before it restarted.
+    pub fn restart(&mut self, listing: &EngineListing, kind: Option<&EngineKind>, gateways: f64, now: f64) {
+        if listing.name_hash != self.listing.name_hash {
+            self.slow_start_work = TimeWindow::default();
+        }
         let memory = kind.map_or(0.0, |kind| kind.memory_mb);
         self.ledger.restart(memory, memory / gateways);
         self.reliability = ReliabilityEstimate::default();
--- a/src/decision/gateway.rs
+++ b/src/decision/gateway.rs
@@ -123,7 +123,7 @@
             let engine = self.engines.get_or_add(listing.engine);
             if engine.is_superseded_by(&listing) {
                 let kind = self.deployment.engine_kinds.get(listing.kind);
-                engine.restart(kind, self.deployment.gateways, now);
+                engine.restart(&listing, kind, self.deployment.gateways, now);
             }
             engine.listing = listing;
         }
--- a/tests/engine_list.rs
+++ b/tests/engine_list.rs
@@ -79,3 +79,27 @@
     host.round();
     assert_eq!(host.engines_of(heavy), [0]);
 }
+
+/// Guards against a new engine that is charged, and reported to peers, for work that the former engine at its index got.
+#[test]
+fn the_slow_start_work_of_a_former_engine_is_not_charged_to_the_next_one_at_its_index() {
+    let mut host = TestHost::new(two_class_deployment(), 0);
+    let cold = EngineListing { started_at: Some(host.now), ..listing(0) };
+    host.gateway.engines_listed(host.now, &[cold], true);
+    let request = host.request(0, |_| ());
+    host.advance(0.5);
+    host.attempt_ended(request, AttemptOutcome::Completed, 0.1);
+    let charged =
+        |host: &TestHost| host.gateway.evidence(0, host.now).expect("the engine is listed").slow_start_work;
+    let before = charged(&host);
+    assert!(before > 0.0, "no work was sent to the cold engine");
+    // The budget of an engine that restarts under its name goes on.
+    let restarted = EngineListing { started_at: Some(host.now), ..cold };
+    host.gateway.engines_listed(host.now, &[restarted], false);
+    host.advance(0.5);
+    assert_eq!(charged(&host), before);
+    let successor = EngineListing { name_hash: 7, ..restarted };
+    host.gateway.engines_listed(host.now, &[successor], false);
+    host.advance(0.5);
+    assert_eq!(charged(&host), 0.0);
+}
