--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod files;
 mod log_lines;
+mod memory_budget;
 mod protocol;
 mod routing;
 mod status_query;
--- a/crates/router/src/protocol/engine.rs
+++ b/crates/router/src/protocol/engine.rs
@@ -5,11 +5,14 @@
 use std::io::Write as _;
 use std::ops::Range;
 
-/// Limits on an engine's answers, in bytes. Engines' pages are shorter than `MAX_BODY` and a result consists of only a few
-/// pages, so anything longer is malformed.
+/// The longest head line of an answer, in bytes.
 const MAX_LINE: usize = 1024;
-const MAX_BODY: usize = 16 * 1024;
-const MAX_RESULT: usize = 96 * 1024;
+/// The longest body of an answer, in bytes: the protocol's limit on a page.
+pub const MAX_BODY: usize = 6000;
+/// The longest result, in bytes: twice the protocol's limit.
+pub const MAX_RESULT: usize = 96 * 1024;
+/// The longest answer, in bytes: a head line, a body, and the line end behind it.
+pub const MAX_ANSWER: usize = MAX_LINE + MAX_BODY + 2;
 /// Pages of one result, at most.
 const MAX_PAGES: usize = 64;
 /// Number of columns in each row of a result.
@@ -263,9 +266,21 @@
         1..self.pages.len()
     }
 
+    /// The most bytes that the pages which have not arrived can have together.
+    pub fn max_missing_bytes(&self) -> usize {
+        (self.missing * MAX_BODY).min(MAX_RESULT.saturating_sub(self.bytes))
+    }
+
     /// Takes the joined pages once all of them have arrived.
     pub fn take_complete(&mut self) -> Option<Vec<u8>> {
-        (self.missing == 0).then(|| self.pages.iter_mut().filter_map(Option::take).flatten().collect())
+        if self.missing > 0 {
+            return None;
+        }
+        let mut pages = std::mem::take(&mut self.pages).into_iter().flatten();
+        let mut joined = pages.next()?;
+        joined.reserve_exact(self.bytes - joined.len());
+        pages.for_each(|page| joined.extend(page));
+        Some(joined)
     }
 }
 
--- a/crates/router/src/protocol/mod.rs
+++ b/crates/router/src/protocol/mod.rs
@@ -3,6 +3,7 @@
 pub mod discovery;
 pub mod engine;
 pub mod mysql;
+pub mod result_rows;
 pub mod statement;
 
 /// The `name=value` pairs of a comma-separated list. Items without `=` are skipped.
--- a/crates/router/src/protocol/mysql.rs
+++ b/crates/router/src/protocol/mysql.rs
@@ -64,19 +64,26 @@
 const MAX_MESSAGE: usize = 480;
 /// Length of a packet's header, in bytes.
 pub const HEADER: usize = 4;
+/// The longest length that is written before a value, in bytes.
+const MAX_LENGTH_PREFIX: usize = 4;
+
+/// The length of the body of the first packet in the input, as its header states it. None while the header is incomplete.
+pub fn first_body_length(input: &[u8]) -> Option<usize> {
+    let header = input.get(..HEADER)?;
+    Some(usize::from(header[0]) | usize::from(header[1]) << 8 | usize::from(header[2]) << 16)
+}
 
 /// Parses the first packet in the input. Returns none while it is incomplete.
 ///
 /// # Errors
 /// According to its header, the body is longer than `max_body` bytes. This is reported without waiting for the body.
 pub fn parse_packet(input: &[u8], max_body: usize) -> Result<Option<Packet<'_>>, PacketError> {
-    let Some(header) = input.get(..HEADER) else { return Ok(None) };
-    let length = usize::from(header[0]) | usize::from(header[1]) << 8 | usize::from(header[2]) << 16;
+    let Some(length) = first_body_length(input) else { return Ok(None) };
     if length > max_body {
         return refuse(PACKET_TOO_LARGE, "the packet is longer than this gateway takes");
     }
     let body = input.get(HEADER..HEADER + length);
-    Ok(body.map(|body| Packet { sequence: header[3], body }))
+    Ok(body.map(|body| Packet { sequence: input[HEADER - 1], body }))
 }
 
 /// A client's login.
@@ -292,6 +299,15 @@
     R: Iterator<Item = C>,
     C: Iterator<Item = &'a [u8]>,
 {
+    write_columns(out, sequence, columns);
+    for row in rows {
+        write_row(out, sequence, row);
+    }
+    write_eof(out, sequence);
+}
+
+/// Writes the beginning of a result set: the descriptions of its text columns. The rows and an EOF packet follow.
+pub fn write_columns(out: &mut Vec<u8>, sequence: &mut u8, columns: &[String]) {
     write_packet(out, sequence, |out| out.push(columns.len() as u8));
     for column in columns {
         write_packet(out, sequence, |out| {
@@ -306,14 +322,20 @@
         });
     }
     write_eof(out, sequence);
-    for row in rows {
-        write_packet(out, sequence, |out| {
-            for value in row {
-                write_length_prefixed(out, value);
-            }
-        });
-    }
-    write_eof(out, sequence);
+}
+
+/// The most bytes that a packet with one row has, whose values have `values_len` bytes together.
+pub const fn max_row_packet(values_len: usize, values: usize) -> usize {
+    HEADER + values * MAX_LENGTH_PREFIX + values_len
+}
+
+/// Writes one row of a result set.
+pub fn write_row<'a>(out: &mut Vec<u8>, sequence: &mut u8, values: impl Iterator<Item = &'a [u8]>) {
+    write_packet(out, sequence, |out| {
+        for value in values {
+            write_length_prefixed(out, value);
+        }
+    });
 }
 
 #[cfg(test)]
--- a/crates/router/src/protocol/statement.rs
+++ b/crates/router/src/protocol/statement.rs
@@ -53,6 +53,18 @@
     pub text: Vec<u8>,
 }
 
+impl ParsedStatement {
+    /// The length of all its texts together, in bytes.
+    pub fn texts_len(&self) -> usize {
+        let optional_len = |text: &Option<String>| text.as_ref().map_or(0, String::len);
+        self.id.len()
+            + self.class.len()
+            + optional_len(&self.tenant)
+            + optional_len(&self.idempotency_key)
+            + self.text.len()
+    }
+}
+
 /// Why a statement is refused. The message is sent to the client.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum StatementError {
--- a/crates/router/src/routing/counters.rs
+++ b/crates/router/src/routing/counters.rs
@@ -62,6 +62,14 @@
     engine_connections_malformed: "links_malformed",
     /// Connections that were not made or accepted for lack of a file descriptor.
     descriptor_shortages: "descriptors_short",
+    /// Requests and packets that were refused, and results whose further pages had to wait, for want of memory.
+    memory_shortages: "memory_short",
+    /// Bytes that the buffers of client sessions hold beyond their allowance.
+    session_buffer_bytes: "session_bytes",
+    /// Bytes that are reserved for open requests and for requests that were not written to an engine yet.
+    request_bytes: "request_bytes",
+    /// Bytes that are reserved for the further pages of results.
+    result_bytes: "result_bytes",
     /// New events from the discovery service.
     discovery_events: "board_events",
     /// Connections to the discovery service that were established.
--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -156,8 +156,9 @@
         while let Some(attempt) = self.state.requests.take_timed_out(self.state.now) {
             self.state.cancel(attempt, AttemptOutcome::TimedOut, connections);
         }
-        for SessionStatement { session, statement } in input.statements {
-            if let Err(error) = self.receive(session, statement, input.received_since) {
+        for statement in input.statements {
+            let session = statement.session;
+            if let Err(error) = self.receive(statement, input.received_since) {
                 self.unreported_sessions.pop_front();
                 refused.push(RefusedStatement { session, error });
             }
@@ -187,10 +188,10 @@
     /// one.
     fn receive(
         &mut self,
-        session: SessionId,
-        statement: ParsedStatement,
+        received: SessionStatement,
         received_since: Option<f64>,
     ) -> Result<(), StatementError> {
+        let SessionStatement { session, statement, memory } = received;
         let class = self.class_of(&statement)?;
         self.check_tenant(&statement)?;
         // Of two requests with the same id, the first gets the answer.
@@ -221,7 +222,7 @@
         let index = self.next_request;
         self.next_request += 1;
         let deadline = gives_up_at.min(self.stops_at);
-        let request = Request::new(statement, session, deadline, objective_at, idempotency_key);
+        let request = Request::new(statement, session, deadline, objective_at, idempotency_key, memory);
         self.state.requests.insert(index, request);
         self.state.counters.taken += 1;
         // From here on the request is in the table, where `fail_all` finds it if the decision core panics.
--- a/crates/router/src/routing/request_table.rs
+++ b/crates/router/src/routing/request_table.rs
@@ -3,6 +3,7 @@
 //! client chose.
 
 use super::types::{Answer, AttemptId, SessionId};
+use crate::memory_budget::Reservation;
 use crate::protocol::statement::ParsedStatement;
 use cleatgw::AttemptOutcome;
 use std::collections::{BTreeSet, HashMap, HashSet};
@@ -42,6 +43,8 @@
     pub attempts: Vec<AttemptState>,
     /// The hash of the idempotency key. Absent if the class is not deduplicated.
     pub idempotency_key: Option<u64>,
+    /// The memory that is reserved for the request.
+    memory: Reservation,
     stage: Stage,
 }
 
@@ -52,6 +55,7 @@
         deadline: f64,
         objective_at: f64,
         idempotency_key: Option<u64>,
+        memory: Reservation,
     ) -> Request {
         Request {
             statement,
@@ -61,6 +65,7 @@
             grant_mb: 0.0,
             attempts: Vec::new(),
             idempotency_key,
+            memory,
             stage: Stage::Open { session },
         }
     }
@@ -226,13 +231,17 @@
     }
 
     /// Marks a request as answered. Returns the session that the answer goes to, or `None` if the request is unknown or
-    /// has been answered before.
-    pub fn answer(&mut self, index: usize, answer: &Answer, now: f64) -> Option<AnsweredRequest> {
+    /// has been answered before. A result takes over the memory that is reserved for the request.
+    pub fn answer(&mut self, index: usize, answer: &mut Answer, now: f64) -> Option<AnsweredRequest> {
         let request = self.requests.get_mut(&index)?;
         let Stage::Open { session } = std::mem::replace(&mut request.stage, Stage::Answered) else {
             return None;
         };
-        let in_time = matches!(answer, Answer::Completed(_)) && now <= request.objective_at;
+        let is_completed = matches!(answer, Answer::Completed(_));
+        if let Answer::Completed(rows) = answer {
+            rows.keep_reserved(std::mem::take(&mut request.memory));
+        }
+        let in_time = is_completed && now <= request.objective_at;
         self.by_session.remove(&session);
         self.open_ids.remove(&request.statement.id);
         Some(AnsweredRequest { session, in_time })
--- a/crates/router/src/routing/state.rs
+++ b/crates/router/src/routing/state.rs
@@ -89,8 +89,8 @@
     }
 
     /// Sends the final answer to a request, unless the request has been answered before.
-    pub fn answer(&mut self, index: usize, answer: Answer, connections: &mut dyn Connections) {
-        let Some(AnsweredRequest { session, in_time }) = self.requests.answer(index, &answer, self.now)
+    pub fn answer(&mut self, index: usize, mut answer: Answer, connections: &mut dyn Connections) {
+        let Some(AnsweredRequest { session, in_time }) = self.requests.answer(index, &mut answer, self.now)
         else {
             return;
         };
--- a/crates/router/src/routing/tests.rs
+++ b/crates/router/src/routing/tests.rs
@@ -2,6 +2,7 @@
 
 use super::types::{outcome_of, AttemptResult};
 use super::*;
+use crate::memory_budget::Reservation;
 use crate::protocol::discovery::{EngineEntry, EngineList, Event};
 use cleatgw::{ActionWriter, MeasuredCost};
 use cleatgw::{DeduplicationScope, EngineKind, RequestClass};
@@ -68,7 +69,8 @@
 }
 
 fn session_statements(statements: Vec<(SessionId, ParsedStatement)>) -> Vec<SessionStatement> {
-    let session_statement = |(session, statement)| SessionStatement { session, statement };
+    let session_statement =
+        |(session, statement)| SessionStatement { session, statement, memory: Reservation::default() };
     statements.into_iter().map(session_statement).collect()
 }
 
@@ -173,7 +175,7 @@
 
 fn completed() -> AttemptResult {
     Ok(Reply::Completed {
-        rows: b"1\t2\t3\n".to_vec(),
+        rows: b"1\t2\t3\n".to_vec().into(),
         measured: Some(MeasuredCost { work: 0.05, memory_mb: 10.0 }),
     })
 }
@@ -183,7 +185,7 @@
     let mut harness = Harness::new();
     harness.send(4, statement("look"));
     harness.end_last_attempt(completed());
-    assert_eq!(harness.connections.answers, [(4, Answer::Completed(b"1\t2\t3\n".to_vec()))]);
+    assert_eq!(harness.connections.answers, [(4, Answer::Completed(b"1\t2\t3\n".to_vec().into()))]);
     harness.end_last_attempt(completed());
     harness.now += 5.0;
     harness.turn(TurnInput::default());
--- a/crates/router/src/routing/types.rs
+++ b/crates/router/src/routing/types.rs
@@ -1,7 +1,9 @@
 //! The types and the trait through which routing and the connections work together.
 
+use crate::memory_budget::Reservation;
 use crate::protocol::discovery::Event;
 use crate::protocol::engine::EngineRequest;
+use crate::protocol::result_rows::ResultRows;
 use crate::protocol::statement::{ParsedStatement, StatementError};
 use cleatgw::{AttemptOutcome, MeasuredCost};
 use std::net::SocketAddr;
@@ -22,7 +24,7 @@
 #[derive(Debug, PartialEq)]
 pub enum Reply {
     /// The complete result, and what the request needed. `measured` is absent if the engine does not measure it.
-    Completed { rows: Vec<u8>, measured: Option<MeasuredCost> },
+    Completed { rows: ResultRows, measured: Option<MeasuredCost> },
     /// The engine was full and did not begin the request.
     EngineFull,
     /// The request failed at the engine.
@@ -64,7 +66,7 @@
 #[derive(Debug, PartialEq)]
 pub enum Answer {
     /// The result.
-    Completed(Vec<u8>),
+    Completed(ResultRows),
     /// The request was not completed, and sending it again is harmless.
     Rejected {
         /// After how many seconds the client should send the request again, if that is known.
@@ -109,6 +111,8 @@
 pub struct SessionStatement {
     pub session: SessionId,
     pub statement: ParsedStatement,
+    /// The memory that is reserved for the request and the first page of its result.
+    pub memory: Reservation,
 }
 
 /// An attempt that has ended.
--- a/crates/router/src/transport/client_session.rs
+++ b/crates/router/src/transport/client_session.rs
@@ -2,12 +2,16 @@
 //! drivers send.
 
 mod commands;
+mod result_stream;
 
 use super::buffer::{Buffer, ReadOutcome};
+use super::memory_limits::SESSION_ALLOWANCE;
+use crate::memory_budget::MemoryBudget;
 use crate::protocol::mysql::{self, Command};
 use crate::protocol::statement::{ParsedStatement, StatementError, StatusTopic};
 use crate::routing::SessionId;
 use calloop::RegistrationToken;
+use result_stream::ResultStream;
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
 use std::io;
 use std::net::{Shutdown, TcpStream};
@@ -19,6 +23,8 @@
 const PACKET_TIMEOUT: f64 = 2.5;
 /// How long a client may show no activity while bytes of its answer are unsent, in seconds.
 const WRITE_STALL_TIMEOUT: f64 = 10.0;
+/// The same while the router is short of memory, which the answers that nobody reads hold.
+const WRITE_STALL_TIMEOUT_WHEN_SHORT: f64 = 1.0;
 /// How long a client may take to read its whole answer, even if it makes progress, in seconds. This is longer than any
 /// client waits for its answer.
 const ANSWER_TIMEOUT: f64 = 30.0;
@@ -29,6 +35,12 @@
 const INCOMPLETE_STEP_AGE: f64 = 0.5;
 /// Packets that one session handles in one turn, at most.
 const MAX_PACKETS_PER_TURN: usize = 16;
+/// The input that is read ahead of the answers to earlier requests, in bytes. More stays with the system until the
+/// session has handled some. While the budget is half used, the limit is the session's allowance.
+const READ_AHEAD: usize = 16 * 1024;
+/// The length of the pieces in which a result is written, in bytes. The session's allowance is used instead while the
+/// budget has no room for that.
+const OUTPUT_CHUNK: usize = 16 * 1024;
 /// Length of the challenge in the greeting, in bytes.
 const CHALLENGE_LENGTH: usize = 20;
 /// The challenge consists of printable ASCII characters other than the space: this many, starting with this one.
@@ -82,11 +94,17 @@
     pub token: RegistrationToken,
     /// The client sent bytes that are not valid in the protocol.
     pub is_malformed: bool,
+    /// A packet or an answer of the session was refused for want of memory.
+    pub is_short_of_memory: bool,
     /// When the session was last ready, or was last answered.
     pub active_at: f64,
     id: SessionId,
     stream: Rc<TcpStream>,
     buffer: Buffer,
+    /// The budget that the buffers of all sessions share.
+    buffers: Rc<MemoryBudget>,
+    /// The rest of the result that is being written to the client.
+    result: Option<ResultStream>,
     state: State,
     /// The sequence number of the next packet that is sent.
     sequence: u8,
@@ -99,8 +117,10 @@
     /// Whether the buffer may hold complete packets that were not handled.
     has_unhandled_packets: bool,
     closes_after_answer: bool,
-    /// When bytes were last read.
-    read_at: f64,
+    /// The earliest time at which the bytes that were last read may have arrived.
+    arrived_at: f64,
+    /// The earliest time at which bytes that are not read yet may have arrived; none if there were none at the last read.
+    unread_since: Option<f64>,
     /// The first check for time-outs that found bytes of an answer unsent; none while everything is sent.
     unsent_since: Option<f64>,
     /// When the step in progress began: the login, the packet that is being received, or the closing. None if there is none.
@@ -125,21 +145,26 @@
 }
 
 impl ClientSession {
-    /// A session on an accepted connection. It sends the greeting.
+    /// A session on an accepted connection. It sends the greeting. What its buffer holds beyond the allowance counts
+    /// towards `buffers`.
     pub fn new(
         token: RegistrationToken,
         id: SessionId,
         stream: Rc<TcpStream>,
         max_packet: usize,
+        buffers: &Rc<MemoryBudget>,
         now: f64,
     ) -> ClientSession {
         let mut session = ClientSession {
             token,
             is_malformed: false,
+            is_short_of_memory: false,
             active_at: now,
             id,
             stream,
-            buffer: Buffer::default(),
+            buffer: Buffer::with_budget(buffers, SESSION_ALLOWANCE),
+            buffers: buffers.clone(),
+            result: None,
             state: State::Login,
             sequence: 0,
             max_packet,
@@ -147,7 +172,8 @@
             is_client_closed: false,
             has_unhandled_packets: false,
             closes_after_answer: false,
-            read_at: now,
+            arrived_at: now,
+            unread_since: None,
             unsent_since: None,
             step_began_at: Some(now),
         };
@@ -173,7 +199,7 @@
 
     /// Whether no command waits for its answer and nothing is left to write.
     fn is_quiescent(&self) -> bool {
-        matches!(self.state, State::Login | State::Idle | State::Closing) && self.buffer.unsent_len() == 0
+        matches!(self.state, State::Login | State::Idle | State::Closing) && !self.has_unsent()
     }
 
     /// Whether the session can be closed without loss: no command waits for its answer, nothing is left to write, and no
@@ -187,7 +213,7 @@
     /// resets it, and the client would lose its request.
     pub fn confirm_nothing_unread(&mut self, now: f64) -> bool {
         let Ok((has_new_bytes, outcome)) = self.read(now) else { return true };
-        self.readable = outcome == ReadOutcome::LimitReached;
+        self.readable = matches!(outcome, ReadOutcome::LimitReached | ReadOutcome::OutOfMemory);
         self.is_client_closed = outcome == ReadOutcome::EndOfStream;
         self.has_unhandled_packets |= has_new_bytes;
         self.state == State::Closing || !self.has_unhandled_packets
@@ -196,18 +222,44 @@
     /// Reads the available bytes. Returns whether there were any, and why reading stopped.
     fn read(&mut self, now: f64) -> io::Result<(bool, ReadOutcome)> {
         let before = self.buffer.input().len();
-        let outcome = self.buffer.read(&*self.stream, self.max_packet + mysql::HEADER)?;
+        let outcome = loop {
+            let limit = self.input_limit();
+            let outcome = self.buffer.read(&*self.stream, limit)?;
+            // The header of a long packet may have arrived only now.
+            if outcome != ReadOutcome::LimitReached || self.input_limit() <= limit {
+                break outcome;
+            }
+        };
         let has_new_bytes = self.buffer.input().len() > before;
+        self.note_arrival(has_new_bytes, &outcome, now);
+        Ok((has_new_bytes, outcome))
+    }
+
+    /// The length up to which input is read: what a client may send ahead of its requests' answers, or all of the first
+    /// packet if that is longer and can be handled now.
+    fn input_limit(&self) -> usize {
+        let read_ahead = if self.buffers.is_half_free() { READ_AHEAD } else { SESSION_ALLOWANCE.input };
+        let first_packet = mysql::first_body_length(self.buffer.input())
+            .filter(|&length| length <= self.max_packet && self.may_handle_packets())
+            .map_or(0, |length| mysql::HEADER + length);
+        first_packet.max(read_ahead)
+    }
+
+    /// Records when the bytes that were just read may have arrived. Bytes that follow on a read which did not reach the
+    /// end of the available ones may have been available then already.
+    fn note_arrival(&mut self, has_new_bytes: bool, outcome: &ReadOutcome, now: f64) {
+        let arrived_at = self.unread_since.unwrap_or(now);
         if has_new_bytes {
-            self.read_at = now;
+            self.arrived_at = arrived_at;
         }
-        Ok((has_new_bytes, outcome))
+        let may_have_more = matches!(outcome, ReadOutcome::LimitReached | ReadOutcome::OutOfMemory);
+        self.unread_since = may_have_more.then_some(arrived_at);
     }
 
-    /// How long before `until` the last bytes were read, in seconds. A request that is handled now may have waited in the
-    /// buffer that long, behind the request before it.
-    pub fn time_in_buffer(&self, until: f64) -> f64 {
-        (until - self.read_at).max(0.0)
+    /// How long before `until` the last bytes that were read may have arrived, in seconds. A request that is handled now
+    /// may have waited that long, behind the request before it.
+    pub fn time_since_arrival(&self, until: f64) -> f64 {
+        (until - self.arrived_at).max(0.0)
     }
 
     /// Closes this side of the session, so that the client reads its last answer and closes its own side. What the client
@@ -221,9 +273,15 @@
         closes
     }
 
-    /// The number of bytes that still have to be written.
-    pub fn unsent_len(&self) -> usize {
-        self.buffer.unsent_len()
+    /// The bytes that were read and not handled yet.
+    #[cfg(test)]
+    pub fn buffered_input(&self) -> usize {
+        self.buffer.input().len()
+    }
+
+    /// Whether a part of an answer still has to be written.
+    pub fn has_unsent(&self) -> bool {
+        self.buffer.unsent_len() > 0 || self.result.is_some()
     }
 
     /// Whether bytes may be left to read or packets to handle. Neither will be reported as readiness again.
@@ -252,17 +310,19 @@
 
     /// Closes the session if the client has exceeded a time-out. The time is counted from the beginning of each step, so
     /// that a client can't keep its session open by sending or reading a byte now and then.
-    pub fn check_timeouts(&mut self, now: f64) {
+    pub fn check_timeouts(&mut self, now: f64, is_short_of_memory: bool) {
         let timeout = match self.state {
             State::Login => LOGIN_TIMEOUT,
             State::Closing => CLOSE_TIMEOUT,
             State::Idle | State::Waiting | State::Closed => PACKET_TIMEOUT,
         };
         let is_step_late = self.step_began_at.is_some_and(|began_at| now > began_at + timeout);
-        let has_unsent = self.buffer.unsent_len() > 0;
+        let has_unsent = self.has_unsent();
         self.unsent_since = has_unsent.then(|| self.unsent_since.unwrap_or(now));
         let is_answer_late = self.unsent_since.is_some_and(|since| now > since + ANSWER_TIMEOUT);
-        if is_step_late || is_answer_late || has_unsent && now > self.active_at + WRITE_STALL_TIMEOUT {
+        let stall_timeout =
+            if is_short_of_memory { WRITE_STALL_TIMEOUT_WHEN_SHORT } else { WRITE_STALL_TIMEOUT };
+        if is_step_late || is_answer_late || has_unsent && now > self.active_at + stall_timeout {
             self.state = State::Closed;
         }
     }
@@ -274,7 +334,7 @@
     /// Reading or writing fails; the connection is lost.
     pub fn process(&mut self, is_serving: bool, now: f64) -> io::Result<Option<SessionEvent>> {
         self.flush()?;
-        self.read_if_readable(now)?;
+        let reached = self.read_if_readable(now)?;
         let mut event = None;
         self.has_unhandled_packets = true;
         for _ in 0..MAX_PACKETS_PER_TURN {
@@ -294,6 +354,7 @@
                 }
                 Ok(None) => {
                     self.has_unhandled_packets = false;
+                    self.refuse_if_out_of_memory(reached);
                     break;
                 }
                 Err(bad) => {
@@ -307,22 +368,36 @@
         Ok(event)
     }
 
-    fn read_if_readable(&mut self, now: f64) -> io::Result<()> {
-        if self.readable && !self.is_client_closed {
-            match self.read(now)?.1 {
-                ReadOutcome::WouldBlock => self.readable = false,
-                ReadOutcome::LimitReached => {}
-                ReadOutcome::EndOfStream => {
-                    self.readable = false;
-                    self.is_client_closed = true;
-                }
+    /// Reads the available bytes unless nothing more is expected. Returns why reading stopped.
+    fn read_if_readable(&mut self, now: f64) -> io::Result<Option<ReadOutcome>> {
+        if !self.readable || self.is_client_closed {
+            return Ok(None);
+        }
+        let reached = self.read(now)?.1;
+        match reached {
+            ReadOutcome::WouldBlock => self.readable = false,
+            ReadOutcome::LimitReached | ReadOutcome::OutOfMemory => {}
+            ReadOutcome::EndOfStream => {
+                self.readable = false;
+                self.is_client_closed = true;
             }
         }
-        Ok(())
+        Ok(Some(reached))
+    }
+
+    /// Refuses an incomplete packet that there is no memory for.
+    fn refuse_if_out_of_memory(&mut self, reached: Option<ReadOutcome>) {
+        let is_at_allowance = self.buffer.input().len() >= SESSION_ALLOWANCE.input;
+        if reached == Some(ReadOutcome::OutOfMemory) && is_at_allowance {
+            log::debug!("session {}: no memory for a long packet, closing the session", self.id);
+            self.is_short_of_memory = true;
+            self.send(|out, sequence| mysql::write_rejected(out, sequence, None));
+            self.close_after_writing();
+        }
     }
 
     fn may_handle_packets(&self) -> bool {
-        matches!(self.state, State::Login | State::Idle) && self.buffer.unsent_len() == 0
+        matches!(self.state, State::Login | State::Idle) && !self.has_unsent()
     }
 
     fn is_ping(&self, body: &[u8]) -> bool {
@@ -393,7 +468,7 @@
     fn close_after_writing(&mut self) {
         self.state = State::Closing;
         self.step_began_at = None;
-        if self.buffer.unsent_len() == 0 {
+        if !self.has_unsent() {
             // If this fails, the connection is already closed.
             let _ = self.stream.shutdown(Shutdown::Write);
         }
@@ -404,19 +479,46 @@
         let mut out = Vec::new();
         write(&mut out, &mut self.sequence);
         self.buffer.queue_output(&out);
+        self.flush_or_close();
+    }
+
+    fn flush_or_close(&mut self) {
         if let Err(error) = self.flush() {
             log::debug!("session {}: writing failed, closing the session: {error}", self.id);
             self.state = State::Closed;
         }
     }
 
+    /// Writes what is unsent, as far as the client takes it.
     fn flush(&mut self) -> io::Result<()> {
-        if self.buffer.unsent_len() > 0 {
+        if !self.has_unsent() {
+            return Ok(());
+        }
+        while self.has_unsent() {
+            if self.buffer.unsent_len() == 0 {
+                self.queue_next_of_result();
+            }
             self.buffer.write(&*self.stream)?;
-            if self.state == State::Closing && self.buffer.unsent_len() == 0 {
-                self.stream.shutdown(Shutdown::Write)?;
+            if self.buffer.unsent_len() > 0 {
+                return Ok(());
             }
         }
+        if self.state == State::Closing {
+            self.stream.shutdown(Shutdown::Write)?;
+        }
         Ok(())
     }
+
+    /// Moves the next piece of the result into the buffer.
+    fn queue_next_of_result(&mut self) {
+        let Some(result) = &mut self.result else { return };
+        let has_room = self.buffer.fits_output(OUTPUT_CHUNK);
+        let max_len = if has_room { OUTPUT_CHUNK } else { SESSION_ALLOWANCE.output };
+        let mut out = Vec::new();
+        let is_complete = result.write_next(&mut out, &mut self.sequence, max_len);
+        if is_complete {
+            self.result = None;
+        }
+        self.buffer.queue_output(&out);
+    }
 }
--- a/crates/router/src/transport/client_session/commands.rs
+++ b/crates/router/src/transport/client_session/commands.rs
@@ -1,8 +1,9 @@
 //! Handles the commands of a client session and writes the packets that answer them.
 
+use super::result_stream::ResultStream;
 use super::{ClientSession, SessionEvent, State};
-use crate::protocol::engine::{columns, rows, COLUMNS};
 use crate::protocol::mysql::{self, Command};
+use crate::protocol::result_rows::ResultRows;
 use crate::protocol::statement::{self, Statement};
 use crate::routing::Answer;
 use crate::status_row::StatusRow;
@@ -73,15 +74,32 @@
     pub fn table(&mut self, rows: &[StatusRow]) {
         let names = StatusRow::COLUMNS.map(str::to_string);
         let rows = rows.iter().map(|row| row.cells().into_iter().map(str::as_bytes));
-        self.answer_and_become_idle(|out, sequence| mysql::write_result_set(out, sequence, &names, rows));
+        let mut out = Vec::new();
+        let mut sequence = self.sequence;
+        mysql::write_result_set(&mut out, &mut sequence, &names, rows);
+        if self.buffer.fits_output(out.len()) {
+            self.sequence = sequence;
+            self.answer_and_become_idle(|buffered, _| buffered.append(&mut out));
+        } else {
+            self.is_short_of_memory = true;
+            self.answer_and_become_idle(|out, sequence| mysql::write_rejected(out, sequence, None));
+        }
     }
 
     fn answer_and_become_idle(&mut self, write: impl FnOnce(&mut Vec<u8>, &mut u8)) {
+        self.become_idle();
+        self.send(write);
+        self.close_if_killed();
+    }
+
+    fn become_idle(&mut self) {
         self.state = State::Idle;
         // Packets that arrived after the request have not been handled yet.
         self.has_unhandled_packets = !self.buffer.input().is_empty();
         self.unsent_since = None;
-        self.send(write);
+    }
+
+    fn close_if_killed(&mut self) {
         if self.closes_after_answer {
             self.close_after_writing();
         }
@@ -98,14 +116,21 @@
     /// Sends the final answer to the open request.
     pub fn answer(&mut self, answer: Answer, now: f64) {
         self.active_at = now;
-        self.answer_and_become_idle(|out, sequence| match answer {
-            Answer::Completed(pages) => {
-                let names: Vec<String> = (1..=COLUMNS).map(|number| format!("column_{number}")).collect();
-                mysql::write_result_set(out, sequence, &names, rows(&pages).map(columns));
+        match answer {
+            Answer::Completed(rows) => self.result(rows),
+            Answer::Rejected { retry_after } => {
+                self.answer_and_become_idle(|out, sequence| mysql::write_rejected(out, sequence, retry_after))
             }
-            Answer::Rejected { retry_after } => mysql::write_rejected(out, sequence, retry_after),
-            Answer::Failed => mysql::write_failed(out, sequence),
-            Answer::Withdrawn => mysql::write_killed(out, sequence),
-        });
+            Answer::Failed => self.answer_and_become_idle(mysql::write_failed),
+            Answer::Withdrawn => self.answer_and_become_idle(mysql::write_killed),
+        }
+    }
+
+    /// Begins to write a result, the rest of which follows as the client reads it.
+    fn result(&mut self, rows: ResultRows) {
+        self.become_idle();
+        self.result = Some(ResultStream::new(rows));
+        self.flush_or_close();
+        self.close_if_killed();
     }
 }
--- a/crates/router/src/transport/client_sessions.rs
+++ b/crates/router/src/transport/client_sessions.rs
@@ -6,8 +6,10 @@
 use super::client_listener::Listener;
 use super::client_session::{ClientSession, SessionEvent};
 use super::event_source::{watch, EventSource, LoopHandle};
+use super::memory_limits::{request_memory, MemoryLimits};
 use super::panic_guard::catch_panic;
 use super::sockets::is_out_of_descriptors;
+use crate::memory_budget::MemoryBudget;
 use crate::protocol::mysql;
 use crate::protocol::statement::{ParsedStatement, StatementError, StatusTopic};
 use crate::routing::{Answer, Counters, SessionId, SessionStatement, TurnInput};
@@ -25,14 +27,6 @@
 /// At a planned stop, clients have this long to read their last answer and close, in seconds. This is longer than a client
 /// needs to notice the close and to send a request that crossed it to another router.
 const CLIENT_CLOSE_TIMEOUT: f64 = 0.1;
-/// Bounds of the longest packet body that a session accepts, in bytes. Between them the limit is the session's share of the
-/// memory.
-const MIN_MAX_PACKET: usize = 16 * 1024;
-const MAX_MAX_PACKET: usize = 1024 * 1024;
-/// Client sessions may take the router's file descriptors divided by this.
-const DESCRIPTOR_DIVISOR: usize = 2;
-/// The packets of client sessions may take the router's memory divided by this.
-const MEMORY_DIVISOR: usize = 4;
 
 /// A session's request to kill another session, or only its query.
 struct KillRequest {
@@ -55,6 +49,10 @@
     max_sessions: usize,
     /// The longest packet body that a session accepts, in bytes.
     max_packet: usize,
+    /// The budget of the sessions' buffers.
+    session_buffers: Rc<MemoryBudget>,
+    /// The budget of open requests.
+    requests: Rc<MemoryBudget>,
     /// An accepted connection that waits until there is a place for its session.
     waiting_stream: Option<TcpStream>,
     next_id: SessionId,
@@ -70,32 +68,32 @@
     /// Sessions that have asked for the counters.
     counter_requests: Vec<SessionId>,
     pending_questions: Vec<PendingQuestion>,
+    /// Whether requests, packets or results found no memory since the last check for time-outs.
+    is_short_of_memory: bool,
     /// When a planned stop began to close the sessions; set anew after each answer.
     closing_since: Option<f64>,
     counters: Counters,
 }
 
 impl ClientSessions {
-    /// Listens on an address. `descriptors` and `memory` are the file descriptors and the bytes of memory that the whole
-    /// router may use.
+    /// Listens on an address.
     ///
     /// # Errors
     /// The address can't be listened on.
     pub fn open(
         handle: &LoopHandle,
         listen: SocketAddr,
-        descriptors: usize,
-        memory: usize,
+        limits: &MemoryLimits,
     ) -> io::Result<ClientSessions> {
         let listener = Listener::open(handle, listen)?;
-        let max_sessions = (descriptors / DESCRIPTOR_DIVISOR).max(1);
-        let max_packet = (memory / MEMORY_DIVISOR / max_sessions).clamp(MIN_MAX_PACKET, MAX_MAX_PACKET);
         Ok(ClientSessions {
             handle: handle.clone(),
             listener: Some(listener),
             sessions: HashMap::new(),
-            max_sessions,
-            max_packet,
+            max_sessions: limits.max_sessions,
+            max_packet: limits.max_packet,
+            session_buffers: limits.session_buffers.clone(),
+            requests: limits.requests.clone(),
             waiting_stream: None,
             // Ids start at a random number: a kill that is meant for a session of the router's former process must not hit
             // a session of this one.
@@ -107,6 +105,7 @@
             kill_requests: Vec::new(),
             counter_requests: Vec::new(),
             pending_questions: Vec::new(),
+            is_short_of_memory: false,
             closing_since: None,
             counters: Counters::default(),
         })
@@ -182,7 +181,8 @@
         let id = self.next_id;
         self.next_id = self.next_id.wrapping_add(1);
         let token = watch(&self.handle, stream.clone(), EventSource::ClientSession(id))?;
-        self.sessions.insert(id, ClientSession::new(token, id, stream, self.max_packet, now));
+        let session = ClientSession::new(token, id, stream, self.max_packet, &self.session_buffers, now);
+        self.sessions.insert(id, session);
         self.counters.sessions += 1;
         self.new_sessions.push(id);
         Ok(())
@@ -230,7 +230,7 @@
 
     /// Whether a waiting connection can be accepted, or an answer is not written in full.
     pub fn is_busy(&self) -> bool {
-        self.can_accept_now() || self.sessions.values().any(|session| session.unsent_len() > 0)
+        self.can_accept_now() || self.sessions.values().any(ClientSession::has_unsent)
     }
 
     fn remove(&mut self, id: SessionId) {
@@ -266,6 +266,10 @@
             self.unfinished.push(id);
         }
         self.counters.sessions_malformed += u64::from(std::mem::take(&mut session.is_malformed));
+        if std::mem::take(&mut session.is_short_of_memory) {
+            self.counters.memory_shortages += 1;
+            self.is_short_of_memory = true;
+        }
         match result {
             Some(Ok(None)) => {}
             Some(Ok(Some(event))) => self.handle_event(id, event, now, input),
@@ -317,11 +321,23 @@
             self.answer(id, Answer::Withdrawn, now);
             return;
         }
-        // The time to live counts from when the session last read bytes, even if that was long before this turn. The wait
+        // The time to live counts from when the statement may have arrived, even if that was long before this turn. The wait
         // until `received_since`, or until this turn, is subtracted here; routing counts the time from then on.
-        let waited = session.time_in_buffer(input.received_since.unwrap_or(now));
+        let waited = session.time_since_arrival(input.received_since.unwrap_or(now));
         statement.time_to_live = (statement.time_to_live - waited).max(0.0);
-        input.statements.push(SessionStatement { session: id, statement });
+        match self.requests.reserve(request_memory(&statement)) {
+            Some(memory) => input.statements.push(SessionStatement { session: id, statement, memory }),
+            None => self.reject_for_want_of_memory(id, now),
+        }
+    }
+
+    /// Rejects a request that there is no memory for. It was not begun, so its client may safely send it again.
+    fn reject_for_want_of_memory(&mut self, id: SessionId, now: f64) {
+        self.counters.taken += 1;
+        self.counters.rejected += 1;
+        self.counters.memory_shortages += 1;
+        self.is_short_of_memory = true;
+        self.answer(id, Answer::Rejected { retry_after: None }, now);
     }
 
     /// Removes a session and withdraws its open request.
@@ -359,6 +375,11 @@
         }
     }
 
+    /// Records that results wait for memory.
+    pub fn note_memory_shortage(&mut self) {
+        self.is_short_of_memory = true;
+    }
+
     /// Whether a client that connects now gets a session: no connection is waiting, or one of those can be accepted now.
     pub fn can_admit(&self) -> bool {
         !self.may_accept || self.can_accept_now()
@@ -366,8 +387,9 @@
 
     /// Closes sessions that have exceeded a time-out, and accepts connections that had to wait for a place.
     pub fn sweep(&mut self, now: f64, input: &mut TurnInput) {
+        let is_short_of_memory = std::mem::take(&mut self.is_short_of_memory);
         for session in self.sessions.values_mut() {
-            session.check_timeouts(now);
+            session.check_timeouts(now, is_short_of_memory);
         }
         let closed = self.sessions.iter().filter(|(_, session)| session.is_closed());
         let closed: Vec<SessionId> = closed.map(|(&id, _)| id).collect();
@@ -401,7 +423,12 @@
     }
 
     pub fn counters(&self) -> Counters {
-        Counters { sessions_open: self.sessions.len() as u64, ..self.counters.clone() }
+        Counters {
+            sessions_open: self.sessions.len() as u64,
+            session_buffer_bytes: self.session_buffers.reserved() as u64,
+            request_bytes: self.requests.reserved() as u64,
+            ..self.counters.clone()
+        }
     }
 }
 
--- a/crates/router/src/transport/client_sessions/tests.rs
+++ b/crates/router/src/transport/client_sessions/tests.rs
@@ -1,5 +1,6 @@
 use super::super::event_source::ReadyEvents;
 use super::*;
+use crate::memory_budget::Reservation;
 use calloop::EventLoop;
 use cleatgw_testbed::stand_ins::{login, packet, query, request};
 use std::io::{Read, Write};
@@ -24,10 +25,13 @@
 
 impl Harness {
     fn new(max_sessions: usize) -> Harness {
+        Harness::with_limits(&MemoryLimits::new(1 << 20, 2 * max_sessions))
+    }
+
+    fn with_limits(limits: &MemoryLimits) -> Harness {
         let event_loop = EventLoop::try_new().unwrap();
         let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-        let sessions =
-            ClientSessions::open(&event_loop.handle(), any_port, 2 * max_sessions, 1 << 20).unwrap();
+        let sessions = ClientSessions::open(&event_loop.handle(), any_port, limits).unwrap();
         let address = sessions.listener.as_ref().unwrap().socket.local_addr().unwrap();
         Harness { _event_loop: event_loop, sessions, address, now: 100.0, input: TurnInput::default() }
     }
@@ -60,6 +64,18 @@
         panic!("received {} of {length} bytes", received.len());
     }
 
+    /// Runs turns until this many requests have arrived.
+    fn turn_until_requests(&mut self, count: usize) {
+        for _ in 0..2000 {
+            self.turn();
+            if self.input.statements.len() >= count {
+                return;
+            }
+            std::thread::sleep(std::time::Duration::from_millis(1));
+        }
+        panic!("{} of {count} requests have arrived", self.input.statements.len());
+    }
+
     /// The sessions whose requests have arrived, in the order of arrival.
     fn requesting_sessions(&self) -> Vec<SessionId> {
         self.input.statements.iter().map(|statement| statement.session).collect()
@@ -239,7 +255,7 @@
     }
     // The answer is larger than the system's socket buffers on both sides.
     let row = [vec![b'x'; 5900], b"\tone\ttwo\n".to_vec()].concat();
-    harness.sessions.answer(id, Answer::Completed(row.repeat(4000)), harness.now);
+    harness.sessions.answer(id, Answer::Completed(row.repeat(4000).into()), harness.now);
     let mut bytes = vec![0; 1 << 16];
     let (mut total_read, began_at) = (0, harness.now);
     while harness.sessions.sessions.contains_key(&id) {
@@ -250,7 +266,7 @@
         total_read += slow_client.read(&mut bytes).unwrap();
         harness.turn();
         let session = harness.sessions.sessions.get(&id).unwrap();
-        assert!(session.unsent_len() > 0, "the answer must not be written in full");
+        assert!(session.has_unsent(), "the answer must not be written in full");
         assert_eq!(session.active_at, harness.now, "the session must not count as stalled");
         harness.now += 1.0;
         let (now, input) = (harness.now, &mut harness.input);
@@ -262,3 +278,110 @@
         harness.now - began_at
     );
 }
+
+/// The first bytes of an error packet with the code of a rejection, behind its header.
+fn is_rejection(packet: &[u8]) -> bool {
+    let code = u16::from_le_bytes([packet[HEADER_LENGTH + 1], packet[HEADER_LENGTH + 2]]);
+    packet[HEADER_LENGTH] == 0xff && code == 1040
+}
+
+/// Receives one whole packet.
+fn receive_packet(harness: &mut Harness, client: &mut TcpStream) -> Vec<u8> {
+    let header = harness.receive(client, HEADER_LENGTH).unwrap();
+    let body = harness.receive(client, usize::from(header[0])).unwrap();
+    [header, body].concat()
+}
+
+/// Guards against requests that together exceed the router's memory, whatever their number and length.
+#[test]
+fn a_request_that_finds_no_memory_is_rejected_and_admitted_once_others_have_ended() {
+    let limits = MemoryLimits::new(1 << 20, 16);
+    let mut harness = Harness::with_limits(&limits);
+    let (mut client, id) = harness.connect_client();
+    // Others leave less than a request needs.
+    let others = limits.requests.reserve((1 << 17) - 1000).unwrap();
+    client.write_all(&query(&request("look", 5000, "x"))).unwrap();
+    let answer = receive_packet(&mut harness, &mut client);
+    assert!(is_rejection(&answer), "{answer:?}");
+    assert_eq!((harness.input.statements.len(), harness.sessions.counters.memory_shortages), (0, 1));
+    drop(others);
+    client.write_all(&query(&request("look", 5000, "x"))).unwrap();
+    harness.turn_until_requests(1);
+    assert_eq!(harness.requesting_sessions(), [id]);
+    assert!(limits.requests.reserved() > 6000, "{}", limits.requests.reserved());
+    // The reservation ends with the request.
+    harness.input.statements.clear();
+    assert_eq!(limits.requests.reserved(), 0);
+}
+
+/// Guards against packets that together exceed the router's memory while they arrive.
+#[test]
+fn a_long_packet_that_finds_no_memory_is_refused_with_an_error_while_short_ones_are_served() {
+    let limits = MemoryLimits::new(1 << 20, 16);
+    let mut harness = Harness::with_limits(&limits);
+    let (mut long_client, long) = harness.connect_client();
+    let (mut short_client, short) = harness.connect_client();
+    let _others = limits.session_buffers.reserve(1 << 16).unwrap();
+    long_client.write_all(&query(&request("look", 5000, &"x".repeat(12_000)))).unwrap();
+    let answer = receive_packet(&mut harness, &mut long_client);
+    assert!(is_rejection(&answer), "{answer:?}");
+    // The rest of the packet is read and discarded, so that the answer is not lost in a reset.
+    assert!(harness.receive(&mut long_client, 1).unwrap().is_empty(), "the stream must end without an error");
+    short_client.write_all(&query(&request("look", 5000, "x"))).unwrap();
+    harness.turn_until_requests(1);
+    assert_eq!(harness.requesting_sessions(), [short]);
+    assert!(harness.sessions.sessions.get(&long).is_none_or(|session| !session.is_waiting()));
+    assert_eq!(harness.sessions.counters.memory_shortages, 1);
+    let reserved = limits.session_buffers.reserved();
+    assert!(reserved <= 1 << 16, "{reserved} bytes");
+}
+
+/// A client that reads nothing holds the memory of its answer. While others lack memory it has less time than otherwise.
+#[test]
+fn a_client_that_reads_nothing_is_closed_sooner_while_the_router_is_short_of_memory() {
+    for is_short_of_memory in [false, true] {
+        let mut harness = Harness::new(8);
+        let (mut client, id) = harness.connect_client();
+        client.write_all(&query(&request("look", 5000, "x"))).unwrap();
+        harness.turn_until_requests(1);
+        let row = [vec![b'x'; 5900], b"\tone\ttwo\n".to_vec()].concat();
+        harness.sessions.answer(id, Answer::Completed(row.repeat(4000).into()), harness.now);
+        harness.now += 2.0;
+        if is_short_of_memory {
+            harness.sessions.note_memory_shortage();
+        }
+        let (now, input) = (harness.now, &mut harness.input);
+        harness.sessions.sweep(now, input);
+        assert_eq!(harness.sessions.sessions.contains_key(&id), !is_short_of_memory);
+    }
+}
+
+/// Requests that are sent at once may wait with the system until the session has room to read them. Their time to live
+/// counts from when the first ones were read, as all of them may have arrived then.
+#[test]
+fn the_time_to_live_of_a_request_that_waited_unread_counts_from_the_first_read() {
+    let limits = MemoryLimits::new(1 << 20, 16);
+    let mut harness = Harness::with_limits(&limits);
+    let (mut client, id) = harness.connect_client();
+    let _others = limits.session_buffers.reserve(1 << 16).unwrap();
+    let count = 40;
+    let at_once: Vec<u8> = (0..count).flat_map(|_| query(&request("look", 5000, "x"))).collect();
+    client.write_all(&at_once).unwrap();
+    for number in 1..=count {
+        harness.turn_until_requests(number);
+        let SessionStatement { statement, memory, .. } = &mut harness.input.statements[number - 1];
+        // The requests are not to run out of memory themselves.
+        *memory = Reservation::default();
+        let expected = 5.0 - (harness.now - 100.0);
+        assert!((statement.time_to_live - expected).abs() < 1e-9, "request {number}");
+        let held = harness.sessions.sessions[&id].buffered_input();
+        assert!(held <= 2048, "{held} bytes are read ahead");
+        harness.now += 0.1;
+        harness.sessions.answer(id, Answer::Failed, harness.now);
+    }
+    // A request that is sent after all have been read counts from its own arrival.
+    harness.turn();
+    client.write_all(&query(&request("look", 5000, "x"))).unwrap();
+    harness.turn_until_requests(count + 1);
+    assert_eq!(harness.input.statements[count].statement.time_to_live, 5.0);
+}
--- a/crates/router/src/transport/connection_pool.rs
+++ b/crates/router/src/transport/connection_pool.rs
@@ -3,7 +3,7 @@
 mod liveness;
 
 use super::connection_index::ConnectionIndex;
-use super::engine_connection::{ConnectionError, EngineConnection};
+use super::engine_connection::{ConnectionError, EngineBudgets, EngineConnection};
 use super::event_source::{EventSource, LoopHandle};
 use super::panic_guard::catch_panic;
 use super::sockets::{begin_connect, is_out_of_descriptors};
@@ -34,6 +34,9 @@
     /// Limit on the number of connections.
     max_connections: usize,
     limits: ConnectionLimits,
+    budgets: EngineBudgets,
+    /// Attempts whose further pages wait for memory, each with its connection, in the order of arrival.
+    waiting_for_pages: VecDeque<(u64, AttemptId)>,
     /// Attempts that ended, to be reported in the next turn of the event loop.
     ended: Vec<EndedAttempt>,
     /// In the order in which they are to be reported.
@@ -46,13 +49,20 @@
 }
 
 impl ConnectionPool {
-    pub fn new(handle: &LoopHandle, limits: ConnectionLimits, max_connections: usize) -> ConnectionPool {
+    pub fn new(
+        handle: &LoopHandle,
+        limits: ConnectionLimits,
+        max_connections: usize,
+        budgets: EngineBudgets,
+    ) -> ConnectionPool {
         ConnectionPool {
             handle: handle.clone(),
             connections: ConnectionIndex::new(limits.idle_after),
             next_id: 0,
             max_connections: max_connections.max(1),
             limits,
+            budgets,
+            waiting_for_pages: VecDeque::new(),
             ended: Vec::new(),
             delayed: VecDeque::new(),
             connection_by_attempt: HashMap::new(),
@@ -121,7 +131,8 @@
         match begin_connect(&self.handle, address, EventSource::EngineConnection(id)) {
             Ok(connection) => {
                 let until = now + self.limits.connect_timeout;
-                self.connections.add(id, EngineConnection::new(connection, engine, address, until));
+                let connection = EngineConnection::new(connection, engine, address, until, &self.budgets);
+                self.connections.add(id, connection);
                 self.counters.engine_connections += 1;
                 Ok(id)
             }
@@ -212,12 +223,14 @@
         let outcome = self.connections.update(id, |connection| {
             let was_up = connection.is_up();
             let result = catch_panic(CONNECTION_LABEL, || connection.process_io(readable, now, ended));
-            (result, connection.is_up() && !was_up)
+            (result, connection.is_up() && !was_up, connection.take_waiting_for_pages())
         });
-        let Some((result, came_up)) = outcome else { return };
+        let Some((result, came_up, waiting)) = outcome else { return };
         if came_up {
             self.newly_up.push(id);
         }
+        self.counters.memory_shortages += waiting.len() as u64;
+        self.add_waiting_for_pages(id, waiting);
         self.handle_result(id, result, now);
     }
 
@@ -236,6 +249,35 @@
         }
     }
 
+    /// Adds attempts whose further pages wait for memory. The number of entries is at most about twice that of the open
+    /// attempts.
+    fn add_waiting_for_pages(&mut self, id: u64, attempts: Vec<AttemptId>) {
+        if self.waiting_for_pages.len() > 2 * self.connection_by_attempt.len() {
+            let open = &self.connection_by_attempt;
+            self.waiting_for_pages.retain(|(_, attempt)| open.contains_key(attempt));
+        }
+        self.waiting_for_pages.extend(attempts.into_iter().map(|attempt| (id, attempt)));
+    }
+
+    /// Requests the further pages of results that waited for memory, the longest waiting first, as far as there is
+    /// memory now.
+    pub fn request_waiting_pages(&mut self, now: f64) {
+        while let Some(&(id, attempt)) = self.waiting_for_pages.front() {
+            let requested = self.connections.update(id, |connection| connection.request_pages(attempt));
+            match requested {
+                Some(Ok(true)) => return,
+                Some(Ok(false)) | None => {}
+                Some(Err(error)) => self.fail(id, ConnectionError::Io(error), now),
+            }
+            self.waiting_for_pages.pop_front();
+        }
+    }
+
+    /// Whether results wait for memory.
+    pub fn is_short_of_memory(&self) -> bool {
+        !self.waiting_for_pages.is_empty()
+    }
+
     /// Handles the result of work on a connection; `None` means that the work panicked.
     fn handle_result(&mut self, id: u64, result: Option<Result<(), ConnectionError>>, now: f64) {
         match result {
@@ -355,6 +397,7 @@
         let dropped: u64 = self.connections.all().map(|(_, connection)| connection.answers_dropped).sum();
         Counters {
             engine_connections_open: self.connections.len() as u64,
+            result_bytes: self.budgets.results.reserved() as u64,
             answers_dropped: self.counters.answers_dropped + dropped,
             ..self.counters.clone()
         }
--- a/crates/router/src/transport/connection_pool/tests.rs
+++ b/crates/router/src/transport/connection_pool/tests.rs
@@ -1,7 +1,8 @@
 use super::super::event_source::{EventSource, ReadyEvents};
 use super::super::sockets::{begin_connect, RegisteredStream};
 use super::*;
-use crate::protocol::engine::EngineRequest;
+use crate::memory_budget::MemoryBudget;
+use crate::protocol::engine::{EngineRequest, MAX_BODY};
 use crate::routing::types::{AttemptResult, Reply};
 use calloop::EventLoop;
 use std::io::{Read, Write};
@@ -20,6 +21,11 @@
     now: f64,
 }
 
+/// Budgets that no test exhausts by chance.
+fn ample_budgets() -> EngineBudgets {
+    EngineBudgets { requests: MemoryBudget::new(1 << 30), results: MemoryBudget::new(1 << 30) }
+}
+
 fn engine_request(id: &str) -> EngineRequest<'_> {
     EngineRequest {
         id,
@@ -38,8 +44,12 @@
 
 impl PoolTest {
     fn new() -> PoolTest {
+        PoolTest::with_budgets(ample_budgets())
+    }
+
+    fn with_budgets(budgets: EngineBudgets) -> PoolTest {
         let event_loop = EventLoop::try_new().unwrap();
-        let pool = ConnectionPool::new(&event_loop.handle(), LIMITS, 40);
+        let pool = ConnectionPool::new(&event_loop.handle(), LIMITS, 40, budgets);
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         PoolTest { _event_loop: event_loop, pool, listener, address, now: 100.0 }
@@ -77,6 +87,11 @@
 
     /// Runs the pool until the engine has received `expected`.
     fn receive(&mut self, engine: &mut TcpStream, expected: &str) {
+        self.received_until(engine, expected);
+    }
+
+    /// Runs the pool until the engine has received `expected`, and returns all that it has received meanwhile.
+    fn received_until(&mut self, engine: &mut TcpStream, expected: &str) -> String {
         let mut text = String::new();
         engine.set_read_timeout(Some(std::time::Duration::from_millis(5))).unwrap();
         for _ in 0..2000 {
@@ -85,7 +100,7 @@
             let read = engine.read(&mut bytes).unwrap_or(0);
             text.push_str(std::str::from_utf8(&bytes[..read]).unwrap());
             if text.contains(expected) {
-                return;
+                return text;
             }
         }
         panic!("{expected:?} is not in {text:?}");
@@ -97,6 +112,7 @@
             self.pool.process_io(id, true, self.now);
         }
         self.pool.send_queued(self.now);
+        self.pool.request_waiting_pages(self.now);
         self.pool.run_due(self.now);
     }
 
@@ -136,7 +152,7 @@
 }
 
 fn done() -> AttemptResult {
-    Ok(Reply::Completed { rows: b"a\tb\tc\n".to_vec(), measured: None })
+    Ok(Reply::Completed { rows: b"a\tb\tc\n".to_vec().into(), measured: None })
 }
 
 #[test]
@@ -190,13 +206,73 @@
     let answers =
         [answer(9, "DONE", "-", row), first_page.clone(), first_page, page(2), page(2), page(1), page(1)];
     let ends = test.send_and_take_ended(&mut engine, &answers.concat(), 1);
-    let complete = Reply::Completed { rows: row.repeat(3).into_bytes(), measured: None };
+    let complete = Reply::Completed { rows: row.repeat(3).into_bytes().into(), measured: None };
     assert_eq!(ends, [(1, Ok(complete))]);
     test.dispatch(2);
     assert_eq!(test.send_and_take_ended(&mut engine, &answer(2, "DONE", "-", row), 1), [(2, done())]);
     assert_eq!((test.pool.connections.len(), test.pool.counters.engine_connections_malformed), (1, 0));
 }
 
+/// The number of pages that were requested for an attempt, in what the engine received.
+fn pages_requested(received: &str, request: usize) -> usize {
+    received.matches(&format!("PAGE {request:016x} ")).count()
+}
+
+/// Guards against results that together exceed the router's memory: engines send a first page unasked, but further pages
+/// only on request.
+#[test]
+fn further_pages_are_requested_only_as_far_as_there_is_memory_for_them_in_the_order_of_the_first_pages() {
+    // There is room for the further pages of one result.
+    let budgets = EngineBudgets { results: MemoryBudget::new(3 * MAX_BODY - 1), ..ample_budgets() };
+    let results = budgets.results.clone();
+    let mut test = PoolTest::with_budgets(budgets);
+    test.dispatch(1);
+    let mut engine = test.accept("GET");
+    (2..=4).for_each(|request| test.dispatch(request));
+    let row = "a\tb\tc\n";
+    let first_pages: Vec<String> = (1..=4).map(|request| answer(request, "DONE", "parts=3", row)).collect();
+    engine.write_all(first_pages.concat().as_bytes()).unwrap();
+    let received = test.received_until(&mut engine, &format!("PAGE {:016x} 2", 1));
+    assert_eq!((1..=4).map(|request| pages_requested(&received, request)).collect::<Vec<_>>(), [2, 0, 0, 0]);
+    assert_eq!((results.reserved(), test.pool.counters.memory_shortages), (2 * MAX_BODY, 3));
+    assert!(test.pool.is_short_of_memory());
+    // A request that is cancelled while it waits holds up none behind it.
+    test.pool.cancel(attempt(2), test.now);
+    let pages = |request: usize| {
+        [1, 2].map(|number| answer(request, "MORE", &format!("part_no={number}"), row)).concat()
+    };
+    let mut ends = test.send_and_take_ended(&mut engine, &pages(1), 1);
+    let complete = || Ok(Reply::Completed { rows: row.repeat(3).into_bytes().into(), measured: None });
+    assert_eq!(ends, [(1, complete())]);
+    // The memory of a result is released with it.
+    ends.clear();
+    let received = test.received_until(&mut engine, &format!("PAGE {:016x} 2", 3));
+    assert_eq!((2..=4).map(|request| pages_requested(&received, request)).collect::<Vec<_>>(), [0, 2, 0]);
+    assert_eq!(test.send_and_take_ended(&mut engine, &pages(3), 1), [(3, complete())]);
+    test.received_until(&mut engine, &format!("PAGE {:016x} 2", 4));
+    assert_eq!(test.send_and_take_ended(&mut engine, &pages(4), 1), [(4, complete())]);
+    assert!(!test.pool.is_short_of_memory());
+    assert_eq!((results.reserved(), test.pool.counters.memory_shortages), (0, 3));
+}
+
+#[test]
+fn an_attempt_whose_request_finds_no_memory_in_its_connection_was_never_sent() {
+    let budgets = EngineBudgets { requests: MemoryBudget::new(0), ..ample_budgets() };
+    let mut test = PoolTest::with_budgets(budgets);
+    test.dispatch(1);
+    let mut engine = test.accept("GET");
+    let long = vec![b'x'; 100_000];
+    let request = EngineRequest { statement: &long, ..engine_request("0000000000000002") };
+    let (attempt, address) = (attempt(2), test.address);
+    let dispatch = Dispatch { attempt, engine: 1, address, request, leave_by: f64::INFINITY };
+    test.pool.dispatch(dispatch, test.now);
+    assert_eq!(test.take_ended(), [(2, Err(DeliveryFailure::NeverSent))]);
+    // The connection is sound: it carries the other attempt to its end.
+    let ends = test.send_and_take_ended(&mut engine, &answer(1, "DONE", "-", "a\tb\tc\n"), 1);
+    assert_eq!(ends, [(1, done())]);
+    assert_eq!(test.pool.connections.len(), 1);
+}
+
 #[test]
 fn an_unresponsive_connection_fails_once_its_engine_answers_on_another() {
     let mut test = PoolTest::new();
@@ -331,7 +407,8 @@
     let token = begin_connect(&test.pool.handle, test.address, source).unwrap().token;
     for id in 0..size {
         let registered = RegisteredStream { token, stream: stream.clone() };
-        let connection = EngineConnection::new(registered, id / 3, test.address, test.now + 0.25);
+        let connection =
+            EngineConnection::new(registered, id / 3, test.address, test.now + 0.25, &ample_budgets());
         test.pool.connections.add(id, connection);
         test.pool.process_io(id, false, test.now);
     }
@@ -553,7 +630,7 @@
         let event_loop: EventLoop<ReadyEvents> = EventLoop::try_new().unwrap();
         let limits =
             ConnectionLimits { connect_timeout: 0.25, idle_after: 2.0, max_attempts_per_connection: 3 };
-        let mut pool = ConnectionPool::new(&event_loop.handle(), limits, 25);
+        let mut pool = ConnectionPool::new(&event_loop.handle(), limits, 25, ample_budgets());
         let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
         socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
         socket.listen(0).unwrap();
--- a/crates/router/src/transport/discovery_client.rs
+++ b/crates/router/src/transport/discovery_client.rs
@@ -250,7 +250,8 @@
             ReadOutcome::LimitReached if self.buffer.input().len() >= self.max_line => {
                 Err(DiscoveryError::LineTooLong(self.max_line))
             }
-            ReadOutcome::LimitReached | ReadOutcome::WouldBlock => Ok(()),
+            // The buffer of this connection has no budget, so it never runs out of memory.
+            ReadOutcome::LimitReached | ReadOutcome::OutOfMemory | ReadOutcome::WouldBlock => Ok(()),
         }
     }
 
--- a/crates/router/src/transport/engine_connection.rs
+++ b/crates/router/src/transport/engine_connection.rs
@@ -4,7 +4,9 @@
 
 use super::buffer::{Buffer, ReadOutcome};
 use super::engine_exchange::Exchange;
+use super::memory_limits::ENGINE_ALLOWANCE;
 use super::sockets::{is_connected, RegisteredStream};
+use crate::memory_budget::MemoryBudget;
 use crate::protocol::engine::{self, AnswerKind, Malformed};
 use crate::routing::{AttemptId, DeliveryFailure, EndedAttempt, Reply};
 use calloop::RegistrationToken;
@@ -15,9 +17,9 @@
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
-/// Reading stops for this turn of the event loop when this many bytes of input are buffered, so that one engine does
-/// not starve the others.
-const MAX_INPUT: usize = 64 * 1024;
+/// Reading stops for this turn of the event loop when this many bytes were read, so that one engine does not starve the
+/// others.
+const MAX_READ_PER_TURN: usize = 64 * 1024;
 /// A connection with more unsent bytes than this accepts no new attempts: its engine is not reading.
 const MAX_UNSENT: usize = 256 * 1024;
 /// The ids of attempts that ended on a connection without a result are kept for the lifetime of the connection,
@@ -46,6 +48,15 @@
     ends_at: f64,
 }
 
+/// The budgets that the connections to engines share.
+#[derive(Clone)]
+pub struct EngineBudgets {
+    /// Requests that were not written to an engine yet.
+    pub requests: Rc<MemoryBudget>,
+    /// The pages of results after the first one.
+    pub results: Rc<MemoryBudget>,
+}
+
 enum State {
     Connecting { until: f64 },
     Up,
@@ -81,6 +92,10 @@
     stream: Rc<TcpStream>,
     state: State,
     buffer: Buffer,
+    /// The budget of the further pages of results.
+    results: Rc<MemoryBudget>,
+    /// Attempts whose further pages were not requested for want of memory, in the order of arrival. The pool takes them.
+    waiting_for_pages: Vec<AttemptId>,
     /// Attempts whose request has not been put on the connection yet.
     queued: Vec<QueuedAttempt>,
     /// Attempts whose request was put on the connection, by request id. It may not be written to the socket yet.
@@ -110,12 +125,14 @@
 }
 
 impl EngineConnection {
-    /// Wraps a connection that was started and must be up by `until`.
+    /// Wraps a connection that was started and must be up by `until`. Requests beyond the connection's allowance count
+    /// towards `budgets.requests`, and the further pages of results towards `budgets.results`.
     pub fn new(
         connection: RegisteredStream,
         engine: u64,
         address: SocketAddr,
         until: f64,
+        budgets: &EngineBudgets,
     ) -> EngineConnection {
         EngineConnection {
             token: connection.token,
@@ -126,7 +143,9 @@
             answers_dropped: 0,
             stream: connection.stream,
             state: State::Connecting { until },
-            buffer: Buffer::default(),
+            buffer: Buffer::with_budget(&budgets.requests, ENGINE_ALLOWANCE),
+            results: budgets.results.clone(),
+            waiting_for_pages: Vec::new(),
             queued: Vec::new(),
             exchanges: HashMap::new(),
             cancelled: HashMap::new(),
@@ -229,6 +248,15 @@
         self.bytes_put += bytes.len() as u64;
     }
 
+    /// Puts a request on the connection. Returns false if there is no memory for it.
+    fn try_put(&mut self, bytes: &[u8]) -> bool {
+        let is_put = self.buffer.try_queue_output(bytes);
+        if is_put {
+            self.bytes_put += bytes.len() as u64;
+        }
+        is_put
+    }
+
     fn flush(&mut self) -> io::Result<()> {
         if self.is_up() && self.buffer.unsent_len() > 0 {
             self.bytes_written += self.buffer.write(&*self.stream)? as u64;
@@ -322,14 +350,31 @@
         if !self.readable {
             return Ok(());
         }
-        let reached = self.read(now)?;
-        self.process_answers(now, ended)?;
+        let reached = self.read_answers(now, ended)?;
         let is_partial = !self.buffer.input().is_empty();
         self.partial_answer_since = is_partial.then(|| self.partial_answer_since.unwrap_or(now));
         self.flush()?;
         match reached {
             ReadOutcome::EndOfStream => Err(ConnectionError::Closed),
-            ReadOutcome::WouldBlock | ReadOutcome::LimitReached => Ok(()),
+            ReadOutcome::WouldBlock | ReadOutcome::LimitReached | ReadOutcome::OutOfMemory => Ok(()),
+        }
+    }
+
+    /// Reads what is ready, up to `MAX_READ_PER_TURN`, and processes the complete answers.
+    fn read_answers(
+        &mut self,
+        now: f64,
+        ended: &mut Vec<EndedAttempt>,
+    ) -> Result<ReadOutcome, ConnectionError> {
+        let mut bytes_read = 0;
+        loop {
+            let before = self.buffer.input().len();
+            let reached = self.read(now)?;
+            bytes_read += self.buffer.input().len() - before;
+            self.process_answers(now, ended)?;
+            if reached != ReadOutcome::LimitReached || bytes_read >= MAX_READ_PER_TURN {
+                return Ok(reached);
+            }
         }
     }
 
@@ -347,10 +392,10 @@
         Ok(true)
     }
 
-    /// Reads what is ready, up to a limit, so that one engine does not starve the others.
+    /// Reads what is ready, up to the allowance of the input, in which the longest answer fits.
     fn read(&mut self, now: f64) -> io::Result<ReadOutcome> {
         let before = self.buffer.input().len();
-        let reached = self.buffer.read(&*self.stream, MAX_INPUT)?;
+        let reached = self.buffer.read(&*self.stream, ENGINE_ALLOWANCE.input)?;
         if self.buffer.input().len() > before {
             self.last_alive_at = now;
             self.last_received_at = now;
@@ -366,6 +411,28 @@
         self.readable
     }
 
+    /// Takes the attempts whose further pages were not requested for want of memory since the last call.
+    pub fn take_waiting_for_pages(&mut self) -> Vec<AttemptId> {
+        std::mem::take(&mut self.waiting_for_pages)
+    }
+
+    /// Requests the further pages of an attempt's result if there is memory for them now. Returns whether the attempt
+    /// still waits for memory.
+    ///
+    /// # Errors
+    /// Writing to the engine fails.
+    pub fn request_pages(&mut self, attempt: AttemptId) -> io::Result<bool> {
+        let exchanges = self.exchanges.iter_mut();
+        let found = exchanges.into_iter().find(|(_, exchange)| exchange.attempt == attempt);
+        let Some((id, exchange)) = found else { return Ok(false) };
+        let mut requests = Vec::new();
+        exchange.request_pages(id, &self.results, &mut requests);
+        let waits_for_memory = exchange.waits_for_memory();
+        self.put(&requests);
+        self.flush()?;
+        Ok(waits_for_memory)
+    }
+
     /// Processes the complete answers in the input.
     fn process_answers(&mut self, now: f64, ended: &mut Vec<EndedAttempt>) -> Result<(), ConnectionError> {
         while let Some(answer) = engine::parse_answer(self.buffer.input())? {
@@ -382,8 +449,12 @@
                 _ => match self.exchanges.get_mut(answer.id) {
                     None => self.answers_dropped += 1,
                     Some(exchange) => {
-                        let reply = exchange.process_answer(&answer, &mut requests)?;
+                        let waited = exchange.waits_for_memory();
+                        let reply = exchange.process_answer(&answer, &self.results, &mut requests)?;
                         let attempt = exchange.attempt;
+                        if exchange.waits_for_memory() && !waited {
+                            self.waiting_for_pages.push(attempt);
+                        }
                         if let Some(reply) = reply {
                             self.exchanges.remove(answer.id);
                             self.idle_since = now;
--- a/crates/router/src/transport/engine_connection/queued_attempts.rs
+++ b/crates/router/src/transport/engine_connection/queued_attempts.rs
@@ -47,9 +47,11 @@
         for queued in std::mem::take(&mut self.queued) {
             let mut bytes = Vec::new();
             queued.request.write(&mut bytes, queued.answer_deadline - now);
-            self.put(&bytes);
-            let exchange = Exchange { attempt: queued.attempt, end_offset: self.bytes_put, pages: None };
-            self.exchanges.insert(queued.id, exchange);
+            if self.try_put(&bytes) {
+                self.exchanges.insert(queued.id, Exchange::new(queued.attempt, self.bytes_put));
+            } else {
+                ended.push(never_sent(queued.attempt));
+            }
         }
         self.flush()
     }
--- a/crates/router/src/transport/mod.rs
+++ b/crates/router/src/transport/mod.rs
@@ -17,6 +17,7 @@
 mod event_loop;
 mod event_source;
 mod health;
+mod memory_limits;
 mod panic_guard;
 mod reload;
 mod server;
--- a/crates/router/src/transport/server.rs
+++ b/crates/router/src/transport/server.rs
@@ -6,9 +6,11 @@
 use super::clock::WallClock;
 use super::connection_pool::ConnectionPool;
 use super::discovery_client::DiscoveryClient;
+use super::engine_connection::EngineBudgets;
 use super::event_loop::{wait, TURN_INTERVAL};
 use super::event_source::{watch_signals, EventSource, LoopHandle, ReadyEvents};
 use super::health::Health;
+use super::memory_limits::MemoryLimits;
 use super::panic_guard::catch_panic;
 use super::reload::Reloaders;
 use super::shutdown::Shutdown;
@@ -31,8 +33,6 @@
 const LIST_LINE_MEMORY_DIVISOR: usize = 16;
 /// The limit on a line from the discovery service is at least this many bytes: a list of 1,024 engines of 1 KiB each.
 const MIN_LIST_LINE: usize = 1024 * 1024;
-/// Engine connections may take the router's file descriptors divided by this.
-const ENGINE_DESCRIPTOR_DIVISOR: usize = 4;
 const MICROSECONDS: f64 = 1e6;
 
 /// The settings of the server. Those of the decision core are separate.
@@ -121,9 +121,10 @@
         let mut clock = WallClock::default();
         let now = clock.read();
         let RouterSettings { descriptors, memory, .. } = settings;
-        let sessions = ClientSessions::open(&handle, settings.listen, descriptors, memory)?;
-        let pool =
-            ConnectionPool::new(&handle, settings.connections, descriptors / ENGINE_DESCRIPTOR_DIVISOR);
+        let limits = MemoryLimits::new(memory, descriptors);
+        let sessions = ClientSessions::open(&handle, settings.listen, &limits)?;
+        let budgets = EngineBudgets { requests: limits.requests.clone(), results: limits.results.clone() };
+        let pool = ConnectionPool::new(&handle, settings.connections, limits.max_engine_connections, budgets);
         let subsystems = Subsystems::open(&handle, subsystems, &routing, now)?;
         let longest_line = (memory / LIST_LINE_MEMORY_DIVISOR).max(MIN_LIST_LINE);
         Ok(Server {
@@ -163,6 +164,7 @@
         let wake_at = self.run_routing(now);
         let now = self.connections.now;
         self.answer_questions(now);
+        self.connections.pool.request_waiting_pages(now);
         self.start_serving_if_ready();
         self.note_unfinished();
         self.count_turn(wake_delay);
@@ -239,6 +241,9 @@
         self.connections.pool.run_due(now);
         if now >= self.sweep_at {
             self.sweep_at = now + SWEEP_INTERVAL;
+            if self.connections.pool.is_short_of_memory() {
+                self.connections.sessions.note_memory_shortage();
+            }
             self.connections.sessions.sweep(now, &mut self.input);
             self.connections.pool.sweep(now);
         }
--- a/crates/testbed/src/engines/engine.rs
+++ b/crates/testbed/src/engines/engine.rs
@@ -134,7 +134,9 @@
             let statement = String::from_utf8_lossy(&body).into_owned();
             self.seen.add(&format!("{} on {number}: {statement}", text.trim_end()));
             let one = if self.uid.contains("wide") { "x".repeat(5900) } else { "one".to_string() };
-            let row = |page: usize| format!("{page}\t{one}\ttwo\n");
+            // Rows without text are longest in the form that clients get, beside their length here.
+            let narrow = "\t\t\n".repeat(if self.uid.contains("narrow") { 1900 } else { 0 });
+            let row = |page: usize| format!("{page}\t{one}\ttwo\n{narrow}");
             let done = |parts: usize| {
                 let row = row(0);
                 format!("{} DONE work=5,peak=7,parts={parts} {}\r\n{row}\r\n", words[1], row.len())
