Sessions: only bytes that a read really left behind date the next request back

The next request of that session could lose the time that the one before it had taken.

Change: the socket is polled for bytes where a read ends at its limit. Test: the_time_to_live_of_a_request_behind_a_long_one_ counts_from_its_own_arrival failed before ("left: 4.0 right: 5.0").

--- a/crates/router/src/transport/client_session.rs
+++ b/crates/router/src/transport/client_session.rs
@@ -119,7 +119,7 @@
     closes_after_answer: bool,
     /// The earliest time at which the bytes that were last read may have arrived.
     arrived_at: f64,
-    /// The earliest time at which bytes that are not read yet may have arrived; none if there were none at the last read.
+    /// The earliest time at which bytes that the last read left unread may have arrived; none if it left none.
     unread_since: Option<f64>,
     /// The first check for time-outs that found bytes of an answer unsent; none while everything is sent.
     unsent_since: Option<f64>,
@@ -134,6 +134,12 @@
     poll(&mut polled, Some(&Timespec::default())).is_ok() && polled[0].revents().intersects(hang_up)
 }
 
+/// Whether bytes can be read, or the end of the stream.
+fn has_unread(stream: &TcpStream) -> bool {
+    let mut polled = [PollFd::new(stream, PollFlags::IN)];
+    poll(&mut polled, Some(&Timespec::default())).is_ok() && polled[0].revents().intersects(PollFlags::IN)
+}
+
 /// An unpredictable challenge for the greeting.
 fn random_challenge() -> [u8; CHALLENGE_LENGTH] {
     use std::hash::{BuildHasher, RandomState};
@@ -245,15 +251,16 @@
         first_packet.max(read_ahead)
     }
 
-    /// Records when the bytes that were just read may have arrived. Bytes that follow on a read which did not reach the
-    /// end of the available ones may have been available then already.
+    /// Records when the bytes that were just read may have arrived. Bytes that were left unread by an earlier read had
+    /// arrived by then.
     fn note_arrival(&mut self, has_new_bytes: bool, outcome: &ReadOutcome, now: f64) {
         let arrived_at = self.unread_since.unwrap_or(now);
         if has_new_bytes {
             self.arrived_at = arrived_at;
         }
-        let may_have_more = matches!(outcome, ReadOutcome::LimitReached | ReadOutcome::OutOfMemory);
-        self.unread_since = may_have_more.then_some(arrived_at);
+        let stopped_early = matches!(outcome, ReadOutcome::LimitReached | ReadOutcome::OutOfMemory);
+        let leaves_bytes = stopped_early && has_unread(&self.stream);
+        self.unread_since = leaves_bytes.then_some(arrived_at);
     }
 
     /// How long before `until` the last bytes that were read may have arrived, in seconds. A request that is handled now
--- a/crates/router/src/transport/client_sessions/tests.rs
+++ b/crates/router/src/transport/client_sessions/tests.rs
@@ -385,3 +385,23 @@
     harness.turn_until_requests(count + 1);
     assert_eq!(harness.input.statements[count].statement.time_to_live, 5.0);
 }
+
+/// A packet that fills the input to its limit leaves nothing unread: the next request counts from its own arrival.
+#[test]
+fn the_time_to_live_of_a_request_behind_a_long_one_counts_from_its_own_arrival() {
+    let mut harness = Harness::new(8);
+    let (mut client, id) = harness.connect_client();
+    // The session accepts just this long a packet.
+    let overhead = query(&request("look", 5000, "")).len();
+    let long = query(&request("look", 5000, &"x".repeat(16 * 1024 - overhead)));
+    assert_eq!(long.len(), 16 * 1024);
+    client.write_all(&long).unwrap();
+    harness.turn_until_requests(1);
+    harness.now += 1.0;
+    // The next request arrives after the answer, before the session is processed again.
+    harness.sessions.answer(id, Answer::Failed, harness.now);
+    client.write_all(&query(&request("look", 5000, "x"))).unwrap();
+    std::thread::sleep(std::time::Duration::from_millis(20));
+    harness.turn_until_requests(2);
+    assert_eq!(harness.input.statements[1].statement.time_to_live, 5.0);
+}
