Results that wait for the router's memory do not make their engines look slow

Cause: since results have a budget, further pages may be requested late; the time of the attempt, from which the decision core learns the pace of engines, included that wait.

Change: Exchange measures the wait, Reply::Completed carries it, routing takes it off the time of the attempt. The test further_pages_are_requested_only_as_far_as_there_is_memory_... now checks the wait too (its assertions on pages, memory and order are as before).

Not measured: the effect on estimates in a flood.

--- a/crates/router/src/routing/mod.rs
+++ b/crates/router/src/routing/mod.rs
@@ -293,8 +293,11 @@
             return;
         };
         let mut measured_cost = None;
-        if let Some(Reply::Completed { rows, measured }) = reply {
+        let mut elapsed = ended.elapsed;
+        if let Some(Reply::Completed { rows, measured, memory_wait }) = reply {
             measured_cost = measured;
+            // A wait for memory of this router must not make the engine look slow.
+            elapsed = (elapsed - memory_wait).max(0.0);
             self.state.answer(attempt.request, Answer::Completed(rows), connections);
         }
         let request = self.state.requests.get(attempt.request);
@@ -303,7 +306,7 @@
             engine: ended.engine,
             outcome: ended.outcome,
             request_done: request.is_none_or(|request| !request.is_open()),
-            elapsed: ended.elapsed,
+            elapsed,
             measured: measured_cost,
             load: LoadReport::default(),
         };
--- a/crates/router/src/routing/tests.rs
+++ b/crates/router/src/routing/tests.rs
@@ -177,6 +177,7 @@
     Ok(Reply::Completed {
         rows: b"1\t2\t3\n".to_vec().into(),
         measured: Some(MeasuredCost { work: 0.05, memory_mb: 10.0 }),
+        memory_wait: 0.0,
     })
 }
 
--- a/crates/router/src/routing/types.rs
+++ b/crates/router/src/routing/types.rs
@@ -23,8 +23,14 @@
 /// An engine's answer to an attempt.
 #[derive(Debug, PartialEq)]
 pub enum Reply {
-    /// The complete result, and what the request needed. `measured` is absent if the engine does not measure it.
-    Completed { rows: ResultRows, measured: Option<MeasuredCost> },
+    /// The complete result.
+    Completed {
+        rows: ResultRows,
+        /// What the request needed. Absent if the engine does not measure it.
+        measured: Option<MeasuredCost>,
+        /// How long the result waited for memory of this router, in seconds. The engine had completed the request then.
+        memory_wait: f64,
+    },
     /// The engine was full and did not begin the request.
     EngineFull,
     /// The request failed at the engine.
--- a/crates/router/src/transport/connection_pool.rs
+++ b/crates/router/src/transport/connection_pool.rs
@@ -263,7 +263,7 @@
     /// memory now.
     pub fn request_waiting_pages(&mut self, now: f64) {
         while let Some(&(id, attempt)) = self.waiting_for_pages.front() {
-            let requested = self.connections.update(id, |connection| connection.request_pages(attempt));
+            let requested = self.connections.update(id, |connection| connection.request_pages(attempt, now));
             match requested {
                 Some(Ok(true)) => return,
                 Some(Ok(false)) | None => {}
--- a/crates/router/src/transport/connection_pool/tests.rs
+++ b/crates/router/src/transport/connection_pool/tests.rs
@@ -152,7 +152,7 @@
 }
 
 fn done() -> AttemptResult {
-    Ok(Reply::Completed { rows: b"a\tb\tc\n".to_vec().into(), measured: None })
+    Ok(Reply::Completed { rows: b"a\tb\tc\n".to_vec().into(), measured: None, memory_wait: 0.0 })
 }
 
 #[test]
@@ -206,7 +206,8 @@
     let answers =
         [answer(9, "DONE", "-", row), first_page.clone(), first_page, page(2), page(2), page(1), page(1)];
     let ends = test.send_and_take_ended(&mut engine, &answers.concat(), 1);
-    let complete = Reply::Completed { rows: row.repeat(3).into_bytes().into(), measured: None };
+    let rows = row.repeat(3).into_bytes().into();
+    let complete = Reply::Completed { rows, measured: None, memory_wait: 0.0 };
     assert_eq!(ends, [(1, Ok(complete))]);
     test.dispatch(2);
     assert_eq!(test.send_and_take_ended(&mut engine, &answer(2, "DONE", "-", row), 1), [(2, done())]);
@@ -241,16 +242,21 @@
     let pages = |request: usize| {
         [1, 2].map(|number| answer(request, "MORE", &format!("part_no={number}"), row)).concat()
     };
+    // Less than the time after which a cancelled attempt ends unconfirmed.
+    let wait = 0.0625;
+    test.now += wait;
     let mut ends = test.send_and_take_ended(&mut engine, &pages(1), 1);
-    let complete = || Ok(Reply::Completed { rows: row.repeat(3).into_bytes().into(), measured: None });
-    assert_eq!(ends, [(1, complete())]);
+    let complete = |memory_wait| {
+        Ok(Reply::Completed { rows: row.repeat(3).into_bytes().into(), measured: None, memory_wait })
+    };
+    assert_eq!(ends, [(1, complete(0.0))]);
     // The memory of a result is released with it.
     ends.clear();
     let received = test.received_until(&mut engine, &format!("PAGE {:016x} 2", 3));
     assert_eq!((2..=4).map(|request| pages_requested(&received, request)).collect::<Vec<_>>(), [0, 2, 0]);
-    assert_eq!(test.send_and_take_ended(&mut engine, &pages(3), 1), [(3, complete())]);
+    assert_eq!(test.send_and_take_ended(&mut engine, &pages(3), 1), [(3, complete(wait))]);
     test.received_until(&mut engine, &format!("PAGE {:016x} 2", 4));
-    assert_eq!(test.send_and_take_ended(&mut engine, &pages(4), 1), [(4, complete())]);
+    assert_eq!(test.send_and_take_ended(&mut engine, &pages(4), 1), [(4, complete(wait))]);
     assert!(!test.pool.is_short_of_memory());
     assert_eq!((results.reserved(), test.pool.counters.memory_shortages), (0, 3));
 }
--- a/crates/router/src/transport/engine_connection.rs
+++ b/crates/router/src/transport/engine_connection.rs
@@ -421,12 +421,11 @@
     ///
     /// # Errors
     /// Writing to the engine fails.
-    pub fn request_pages(&mut self, attempt: AttemptId) -> io::Result<bool> {
-        let exchanges = self.exchanges.iter_mut();
-        let found = exchanges.into_iter().find(|(_, exchange)| exchange.attempt == attempt);
+    pub fn request_pages(&mut self, attempt: AttemptId, now: f64) -> io::Result<bool> {
+        let found = self.exchanges.iter_mut().find(|(_, exchange)| exchange.attempt == attempt);
         let Some((id, exchange)) = found else { return Ok(false) };
         let mut requests = Vec::new();
-        exchange.request_pages(id, &self.results, &mut requests);
+        exchange.request_pages(id, &self.results, now, &mut requests);
         let waits_for_memory = exchange.waits_for_memory();
         self.put(&requests);
         self.flush()?;
@@ -450,7 +449,7 @@
                     None => self.answers_dropped += 1,
                     Some(exchange) => {
                         let waited = exchange.waits_for_memory();
-                        let reply = exchange.process_answer(&answer, &self.results, &mut requests)?;
+                        let reply = exchange.process_answer(&answer, &self.results, now, &mut requests)?;
                         let attempt = exchange.attempt;
                         if exchange.waits_for_memory() && !waited {
                             self.waiting_for_pages.push(attempt);
--- a/crates/router/src/transport/engine_exchange.rs
+++ b/crates/router/src/transport/engine_exchange.rs
@@ -18,8 +18,10 @@
     pub pages: Option<Pages>,
     /// The memory that is reserved for the further pages.
     page_memory: Reservation,
-    /// Whether the first page has arrived, and the further ones were not requested yet for want of memory.
-    waits_for_memory: bool,
+    /// When the first page arrived, if the further ones were not requested yet for want of memory.
+    waits_for_memory_since: Option<f64>,
+    /// How long the further pages were not requested for want of memory, in seconds.
+    memory_wait: f64,
 }
 
 impl Exchange {
@@ -30,7 +32,8 @@
             end_offset,
             pages: None,
             page_memory: Reservation::default(),
-            waits_for_memory: false,
+            waits_for_memory_since: None,
+            memory_wait: 0.0,
         }
     }
 
@@ -43,10 +46,11 @@
         &mut self,
         answer: &engine::Answer,
         results: &Rc<MemoryBudget>,
+        now: f64,
         requests: &mut Vec<u8>,
     ) -> Result<Option<Reply>, Malformed> {
         match (answer.kind, &mut self.pages) {
-            (AnswerKind::Completed, None) => self.process_first_page(answer, results, requests),
+            (AnswerKind::Completed, None) => self.process_first_page(answer, results, now, requests),
             // A duplicate of the first page; the other pages were already requested.
             (AnswerKind::Completed, Some(_)) => Ok(None),
             (AnswerKind::Page, None) => Err(Malformed("a further page before the first one")),
@@ -70,30 +74,32 @@
         &mut self,
         answer: &engine::Answer,
         results: &Rc<MemoryBudget>,
+        now: f64,
         requests: &mut Vec<u8>,
     ) -> Result<Option<Reply>, Malformed> {
         let pages = self.pages.insert(Pages::new(answer.pages.unwrap_or(1), answer.body)?);
         let measured = answer.work.zip(answer.peak);
         pages.measured = measured.map(|(ms, memory_mb)| MeasuredCost { work: ms / MS_PER_S, memory_mb });
-        self.request_pages(answer.id, results, requests);
+        self.request_pages(answer.id, results, now, requests);
         Ok(self.take_complete())
     }
 
     /// Whether the first page has arrived, and the further ones were not requested yet for want of memory.
     pub fn waits_for_memory(&self) -> bool {
-        self.waits_for_memory
+        self.waits_for_memory_since.is_some()
     }
 
     /// Reserves memory for the pages after the first one, and requests them. Does nothing if there is no room for them.
-    pub fn request_pages(&mut self, id: &str, results: &Rc<MemoryBudget>, requests: &mut Vec<u8>) {
+    pub fn request_pages(&mut self, id: &str, results: &Rc<MemoryBudget>, now: f64, requests: &mut Vec<u8>) {
         let Some(pages) = &self.pages else { return };
-        let reservation = results.reserve(pages.max_missing_bytes());
-        self.waits_for_memory = reservation.is_none();
-        if let Some(reservation) = reservation {
-            self.page_memory = reservation;
-            for number in pages.after_first() {
-                engine::write_page_request(requests, id, number);
-            }
+        let Some(reservation) = results.reserve(pages.max_missing_bytes()) else {
+            self.waits_for_memory_since.get_or_insert(now);
+            return;
+        };
+        self.page_memory = reservation;
+        self.memory_wait = self.waits_for_memory_since.take().map_or(0.0, |since| now - since);
+        for number in pages.after_first() {
+            engine::write_page_request(requests, id, number);
         }
     }
 
@@ -104,6 +110,7 @@
         let mut memory = std::mem::take(&mut self.page_memory);
         // The pages may have been shorter than they could be. A result of one page has nothing reserved here.
         memory.try_resize(text.len().min(memory.bytes()));
-        Some(Reply::Completed { rows: ResultRows::new(text, memory), measured: pages.measured })
+        let rows = ResultRows::new(text, memory);
+        Some(Reply::Completed { rows, measured: pages.measured, memory_wait: self.memory_wait })
     }
 }
