--- a/crates/testbed/src/capacity/hollow.rs
+++ b/crates/testbed/src/capacity/hollow.rs
@@ -12,8 +12,9 @@
 /// A process is up within this, or has failed.
 const STARTS: Duration = Duration::from_secs(20);
 /// Waits on the pipe that the test bed holds: it ends with the test bed, also where that is killed, and then the
-/// process is killed. The first line of its output is the process's id.
+/// process is killed. The first line of its output is the process's id. The shell survives that nobody reads the line.
 const SUPERVISES: &str = r#"ulimit -n "$0" || exit 2
+trap : PIPE
 "$@" > /dev/null &
 echo $!
 read -r end
@@ -181,3 +182,7 @@
         out.write_all(answer.as_bytes()).ok()?;
     }
 }
+
+#[cfg(test)]
+#[path = "hollow/tests.rs"]
+mod tests;
