--- a/crates/router/src/transport/client_session.rs
+++ b/crates/router/src/transport/client_session.rs
@@ -2,6 +2,8 @@
 //! drivers send.
 
 mod commands;
+mod input;
+mod output;
 mod result_stream;
 
 use super::buffer::{Buffer, ReadOutcome};
@@ -35,12 +37,6 @@
 const INCOMPLETE_STEP_AGE: f64 = 0.5;
 /// Packets that one session handles in one turn, at most.
 const MAX_PACKETS_PER_TURN: usize = 16;
-/// The input that is read ahead of the answers to earlier requests, in bytes. More stays with the system until the
-/// session has handled some. While the budget is half used, the limit is the session's allowance.
-const READ_AHEAD: usize = 16 * 1024;
-/// The length of the pieces in which a result is written, in bytes. The session's allowance is used instead while the
-/// budget has no room for that.
-const OUTPUT_CHUNK: usize = 16 * 1024;
 /// Length of the challenge in the greeting, in bytes.
 const CHALLENGE_LENGTH: usize = 20;
 /// The challenge consists of printable ASCII characters other than the space: this many, starting with this one.
@@ -134,12 +130,6 @@
     poll(&mut polled, Some(&Timespec::default())).is_ok() && polled[0].revents().intersects(hang_up)
 }
 
-/// Whether bytes can be read, or the end of the stream.
-fn has_unread(stream: &TcpStream) -> bool {
-    let mut polled = [PollFd::new(stream, PollFlags::IN)];
-    poll(&mut polled, Some(&Timespec::default())).is_ok() && polled[0].revents().intersects(PollFlags::IN)
-}
-
 /// An unpredictable challenge for the greeting.
 fn random_challenge() -> [u8; CHALLENGE_LENGTH] {
     use std::hash::{BuildHasher, RandomState};
@@ -225,50 +215,6 @@
         self.state == State::Closing || !self.has_unhandled_packets
     }
 
-    /// Reads the available bytes. Returns whether there were any, and why reading stopped.
-    fn read(&mut self, now: f64) -> io::Result<(bool, ReadOutcome)> {
-        let before = self.buffer.input().len();
-        let outcome = loop {
-            let limit = self.input_limit();
-            let outcome = self.buffer.read(&*self.stream, limit)?;
-            // The header of a long packet may have arrived only now.
-            if outcome != ReadOutcome::LimitReached || self.input_limit() <= limit {
-                break outcome;
-            }
-        };
-        let has_new_bytes = self.buffer.input().len() > before;
-        self.note_arrival(has_new_bytes, &outcome, now);
-        Ok((has_new_bytes, outcome))
-    }
-
-    /// The length up to which input is read: what a client may send ahead of its requests' answers, or all of the first
-    /// packet if that is longer and can be handled now.
-    fn input_limit(&self) -> usize {
-        let read_ahead = if self.buffers.is_half_free() { READ_AHEAD } else { SESSION_ALLOWANCE.input };
-        let first_packet = mysql::first_body_length(self.buffer.input())
-            .filter(|&length| length <= self.max_packet && self.may_handle_packets())
-            .map_or(0, |length| mysql::HEADER + length);
-        first_packet.max(read_ahead)
-    }
-
-    /// Records when the bytes that were just read may have arrived. Bytes that were left unread by an earlier read had
-    /// arrived by then.
-    fn note_arrival(&mut self, has_new_bytes: bool, outcome: &ReadOutcome, now: f64) {
-        let arrived_at = self.unread_since.unwrap_or(now);
-        if has_new_bytes {
-            self.arrived_at = arrived_at;
-        }
-        let stopped_early = matches!(outcome, ReadOutcome::LimitReached | ReadOutcome::OutOfMemory);
-        let leaves_bytes = stopped_early && has_unread(&self.stream);
-        self.unread_since = leaves_bytes.then_some(arrived_at);
-    }
-
-    /// How long before `until` the last bytes that were read may have arrived, in seconds. A request that is handled now
-    /// may have waited that long, behind the request before it.
-    pub fn time_since_arrival(&self, until: f64) -> f64 {
-        (until - self.arrived_at).max(0.0)
-    }
-
     /// Closes this side of the session, so that the client reads its last answer and closes its own side. What the client
     /// sends after that is not handled. A session with input that arrived before is left open, since closing it would lose
     /// the client's request. Returns whether this call has closed the session.
@@ -280,17 +226,6 @@
         closes
     }
 
-    /// The bytes that were read and not handled yet.
-    #[cfg(test)]
-    pub fn buffered_input(&self) -> usize {
-        self.buffer.input().len()
-    }
-
-    /// Whether a part of an answer still has to be written.
-    pub fn has_unsent(&self) -> bool {
-        self.buffer.unsent_len() > 0 || self.result.is_some()
-    }
-
     /// Whether bytes may be left to read or packets to handle. Neither will be reported as readiness again.
     pub fn is_unfinished(&self) -> bool {
         (self.readable || self.has_unhandled_packets) && self.is_quiescent()
@@ -375,34 +310,6 @@
         Ok(event)
     }
 
-    /// Reads the available bytes unless nothing more is expected. Returns why reading stopped.
-    fn read_if_readable(&mut self, now: f64) -> io::Result<Option<ReadOutcome>> {
-        if !self.readable || self.is_client_closed {
-            return Ok(None);
-        }
-        let reached = self.read(now)?.1;
-        match reached {
-            ReadOutcome::WouldBlock => self.readable = false,
-            ReadOutcome::LimitReached | ReadOutcome::OutOfMemory => {}
-            ReadOutcome::EndOfStream => {
-                self.readable = false;
-                self.is_client_closed = true;
-            }
-        }
-        Ok(Some(reached))
-    }
-
-    /// Refuses an incomplete packet that there is no memory for.
-    fn refuse_if_out_of_memory(&mut self, reached: Option<ReadOutcome>) {
-        let is_at_allowance = self.buffer.input().len() >= SESSION_ALLOWANCE.input;
-        if reached == Some(ReadOutcome::OutOfMemory) && is_at_allowance {
-            log::debug!("session {}: no memory for a long packet, closing the session", self.id);
-            self.is_short_of_memory = true;
-            self.send(|out, sequence| mysql::write_rejected(out, sequence, None));
-            self.close_after_writing();
-        }
-    }
-
     fn may_handle_packets(&self) -> bool {
         matches!(self.state, State::Login | State::Idle) && !self.has_unsent()
     }
@@ -480,52 +387,4 @@
             let _ = self.stream.shutdown(Shutdown::Write);
         }
     }
-
-    /// Sends packets, numbered from the session's current sequence number.
-    fn send(&mut self, write: impl FnOnce(&mut Vec<u8>, &mut u8)) {
-        let mut out = Vec::new();
-        write(&mut out, &mut self.sequence);
-        self.buffer.queue_output(&out);
-        self.flush_or_close();
-    }
-
-    fn flush_or_close(&mut self) {
-        if let Err(error) = self.flush() {
-            log::debug!("session {}: writing failed, closing the session: {error}", self.id);
-            self.state = State::Closed;
-        }
-    }
-
-    /// Writes what is unsent, as far as the client takes it.
-    fn flush(&mut self) -> io::Result<()> {
-        if !self.has_unsent() {
-            return Ok(());
-        }
-        while self.has_unsent() {
-            if self.buffer.unsent_len() == 0 {
-                self.queue_next_of_result();
-            }
-            self.buffer.write(&*self.stream)?;
-            if self.buffer.unsent_len() > 0 {
-                return Ok(());
-            }
-        }
-        if self.state == State::Closing {
-            self.stream.shutdown(Shutdown::Write)?;
-        }
-        Ok(())
-    }
-
-    /// Moves the next piece of the result into the buffer.
-    fn queue_next_of_result(&mut self) {
-        let Some(result) = &mut self.result else { return };
-        let has_room = self.buffer.fits_output(OUTPUT_CHUNK);
-        let max_len = if has_room { OUTPUT_CHUNK } else { SESSION_ALLOWANCE.output };
-        let mut out = Vec::new();
-        let is_complete = result.write_next(&mut out, &mut self.sequence, max_len);
-        if is_complete {
-            self.result = None;
-        }
-        self.buffer.queue_output(&out);
-    }
 }
--- a/crates/router/src/transport/connection_pool.rs
+++ b/crates/router/src/transport/connection_pool.rs
@@ -1,6 +1,7 @@
 //! All connections to engines. They are opened when an attempt needs one, shared by attempts, and closed when idle.
 
 mod liveness;
+mod waiting_pages;
 
 use super::connection_index::ConnectionIndex;
 use super::engine_connection::{ConnectionError, EngineBudgets, EngineConnection};
@@ -249,35 +250,6 @@
         }
     }
 
-    /// Adds attempts whose further pages wait for memory. The number of entries is at most about twice that of the open
-    /// attempts.
-    fn add_waiting_for_pages(&mut self, id: u64, attempts: Vec<AttemptId>) {
-        if self.waiting_for_pages.len() > 2 * self.connection_by_attempt.len() {
-            let open = &self.connection_by_attempt;
-            self.waiting_for_pages.retain(|(_, attempt)| open.contains_key(attempt));
-        }
-        self.waiting_for_pages.extend(attempts.into_iter().map(|attempt| (id, attempt)));
-    }
-
-    /// Requests the further pages of results that waited for memory, the longest waiting first, as far as there is
-    /// memory now.
-    pub fn request_waiting_pages(&mut self, now: f64) {
-        while let Some(&(id, attempt)) = self.waiting_for_pages.front() {
-            let requested = self.connections.update(id, |connection| connection.request_pages(attempt, now));
-            match requested {
-                Some(Ok(true)) => return,
-                Some(Ok(false)) | None => {}
-                Some(Err(error)) => self.fail(id, ConnectionError::Io(error), now),
-            }
-            self.waiting_for_pages.pop_front();
-        }
-    }
-
-    /// Whether results wait for memory.
-    pub fn is_short_of_memory(&self) -> bool {
-        !self.waiting_for_pages.is_empty()
-    }
-
     /// Handles the result of work on a connection; `None` means that the work panicked.
     fn handle_result(&mut self, id: u64, result: Option<Result<(), ConnectionError>>, now: f64) {
         match result {
