--- a/crates/router/src/transport/client_sessions/tests.rs
+++ b/crates/router/src/transport/client_sessions/tests.rs
@@ -1,6 +1,7 @@
 use super::super::event_source::ReadyEvents;
 use super::*;
 use crate::memory_budget::Reservation;
+use crate::status_row::StatusRow;
 use calloop::EventLoop;
 use cleatgw_testbed::stand_ins::{login, packet, query, request};
 use std::io::{Read, Write};
@@ -281,6 +282,9 @@
 
 /// The first bytes of an error packet with the code of a rejection, behind its header.
 fn is_rejection(packet: &[u8]) -> bool {
+    if packet.len() < HEADER_LENGTH + 3 {
+        return false;
+    }
     let code = u16::from_le_bytes([packet[HEADER_LENGTH + 1], packet[HEADER_LENGTH + 2]]);
     packet[HEADER_LENGTH] == 0xff && code == 1040
 }
@@ -405,3 +409,37 @@
     harness.turn_until_requests(2);
     assert_eq!(harness.input.statements[1].statement.time_to_live, 5.0);
 }
+
+/// Guards against status tables that together exceed the router's memory: many sessions ask, and read nothing.
+#[test]
+fn a_status_table_that_finds_no_memory_is_refused_and_sent_once_there_is_room() {
+    let limits = MemoryLimits::new(1 << 20, 16);
+    let mut harness = Harness::with_limits(&limits);
+    let (mut client, _) = harness.connect_client();
+    let row = StatusRow::new("tenant", "queued", "x".repeat(50));
+    let rows = vec![row; 400];
+    let others = limits.session_buffers.reserve(1 << 16).unwrap();
+    let refusal = ask_for_table(&mut harness, &mut client, &rows);
+    assert!(is_rejection(&refusal), "{refusal:?}");
+    assert_eq!(limits.session_buffers.reserved(), 1 << 16);
+    drop(others);
+    let first_packet = ask_for_table(&mut harness, &mut client, &rows);
+    assert_eq!(first_packet[HEADER_LENGTH..], [StatusRow::COLUMNS.len() as u8], "the number of columns");
+    harness.turn();
+    assert_eq!(harness.sessions.counters.memory_shortages, 1);
+}
+
+/// Asks for a status table, answers with these rows, and returns the first packet that the client receives.
+fn ask_for_table(harness: &mut Harness, client: &mut TcpStream, rows: &[StatusRow]) -> Vec<u8> {
+    client.write_all(&query("SHOW TEAMS")).unwrap();
+    for _ in 0..2000 {
+        harness.turn();
+        if !harness.sessions.questions().is_empty() {
+            break;
+        }
+        std::thread::sleep(std::time::Duration::from_millis(1));
+    }
+    assert_eq!(harness.sessions.questions(), [StatusTopic::Teams]);
+    harness.sessions.answer_status(StatusTopic::Teams, Some(rows), harness.now);
+    receive_packet(harness, client)
+}
--- a/crates/router/tests/memory_limits.rs
+++ b/crates/router/tests/memory_limits.rs
@@ -31,8 +31,9 @@
     ReadsNothing,
     /// Sends a long statement again and again, each up to its last byte only after a while.
     LongStatements,
-    /// Asks for status tables, many at once, and reads nothing.
-    StatusTables,
+    /// Asks for a status table that the router does not have, many times at once, and reads nothing. Tables without memory
+    /// are tested in the unit tests of the sessions.
+    StatusQuestions,
 }
 
 /// The private memory of the process in KiB, without the pages of files such as its program.
@@ -61,7 +62,7 @@
     match flood {
         Flood::ReadsAnswers | Flood::ReadsNothing => (0..REQUESTS_AT_ONCE).flat_map(|_| pages()).collect(),
         Flood::LongStatements => query(&request("look", 15_000, &"x".repeat(12_000))),
-        Flood::StatusTables => query("SHOW TEAMS").repeat(REQUESTS_AT_ONCE),
+        Flood::StatusQuestions => query("SHOW TEAMS").repeat(REQUESTS_AT_ONCE),
     }
 }
 
@@ -80,7 +81,7 @@
 
     /// Sends and reads what is possible now. An error says that the connection has ended.
     fn step(&mut self, flood: Flood) -> std::io::Result<()> {
-        if !matches!(flood, Flood::ReadsNothing | Flood::StatusTables) {
+        if !matches!(flood, Flood::ReadsNothing | Flood::StatusQuestions) {
             read_available(&mut self.stream)?;
         }
         if self.unsent.is_empty() {
@@ -171,8 +172,8 @@
 }
 
 #[test]
-fn the_memory_stays_within_its_limit_under_long_statements_and_status_tables() {
-    for flood in [Flood::LongStatements, Flood::StatusTables] {
+fn the_memory_stays_within_its_limit_under_long_statements_and_status_questions() {
+    for flood in [Flood::LongStatements, Flood::StatusQuestions] {
         let (highest, counters) = flooded("e", flood);
         if matches!(flood, Flood::LongStatements) {
             assert!(counter(&counters, "memory_short") > 0, "{flood:?}: {counters}");
