--- /dev/null
+++ b/review/stand-ins-2/src/main.rs
@@ -0,0 +1,62 @@
+//! The cases of the second independent review: `review-2 CASE FOLDER` plays a case and writes FOLDER/record.txt. It exits
+//! with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+
+mod board;
+mod case_6;
+mod client;
+mod engine;
+mod record;
+mod router;
+mod setting;
+
+use std::path::PathBuf;
+
+pub struct Setup {
+    /// A temporary folder, removed at the end.
+    pub folder: PathBuf,
+    /// False with TROUBLE=0: all but the disruption.
+    pub trouble: bool,
+}
+
+pub enum Outcome {
+    Held,
+    Broken(String),
+    CouldNotRun(String),
+}
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, target] = &arguments[..] else {
+        eprintln!("usage: review-2 CASE FOLDER");
+        std::process::exit(2);
+    };
+    let folder = std::env::temp_dir().join(format!("cleatgw-review-{case}-{}", std::process::id()));
+    if let Err(error) = std::fs::create_dir_all(&folder) {
+        eprintln!("no temporary folder: {error}");
+        std::process::exit(2);
+    }
+    let record = match record::Record::create(&PathBuf::from(target).join("record.txt")) {
+        Ok(record) => record,
+        Err(error) => {
+            eprintln!("record.txt: {error}");
+            std::process::exit(2);
+        }
+    };
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let setup = Setup { folder: folder.clone(), trouble };
+    let outcome = match case.as_str() {
+        "6" => case_6::play(&setup, &record),
+        _ => Outcome::CouldNotRun(format!("no case {case}")),
+    };
+    let (code, text) = match outcome {
+        Outcome::Held => (0, "held".to_string()),
+        Outcome::Broken(how) => (1, format!("broken: {how}")),
+        Outcome::CouldNotRun(why) => (2, format!("could not run: {why}")),
+    };
+    record.note(&text);
+    println!("case {case}, trouble {trouble}: {text}");
+    if std::env::var("KEEP").is_err() {
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    std::process::exit(code);
+}
