--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -3,6 +3,7 @@
 
 mod board;
 mod case_6;
+mod case_7;
 mod client;
 mod engine;
 mod record;
@@ -46,6 +47,7 @@
     let setup = Setup { folder: folder.clone(), trouble };
     let outcome = match case.as_str() {
         "6" => case_6::play(&setup, &record),
+        "7" => case_7::play(&setup, &record),
         _ => Outcome::CouldNotRun(format!("no case {case}")),
     };
     let (code, text) = match outcome {
