--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -4,7 +4,9 @@
 mod board;
 mod case_6;
 mod case_7;
+mod case_8;
 mod client;
+mod cluster;
 mod engine;
 mod record;
 mod router;
@@ -48,6 +50,7 @@
     let outcome = match case.as_str() {
         "6" => case_6::play(&setup, &record),
         "7" => case_7::play(&setup, &record),
+        "8" => case_8::play(&setup, &record),
         _ => Outcome::CouldNotRun(format!("no case {case}")),
     };
     let (code, text) = match outcome {
