--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -5,6 +5,7 @@
 mod case_6;
 mod case_7;
 mod case_8;
+mod case_9;
 mod client;
 mod cluster;
 mod engine;
@@ -51,6 +52,7 @@
         "6" => case_6::play(&setup, &record),
         "7" => case_7::play(&setup, &record),
         "8" => case_8::play(&setup, &record),
+        "9" => case_9::play(&setup, &record),
         _ => Outcome::CouldNotRun(format!("no case {case}")),
     };
     let (code, text) = match outcome {
