--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -18,7 +18,7 @@
 use std::path::PathBuf;
 
 pub struct Setup {
-    /// A temporary folder, removed at the end.
+    /// A temporary folder, which the script removes at the end.
     pub folder: PathBuf,
     /// False with TROUBLE=0: all but the disruption.
     pub trouble: bool,
@@ -36,11 +36,10 @@
         eprintln!("usage: review-2 CASE FOLDER");
         std::process::exit(2);
     };
-    let folder = std::env::temp_dir().join(format!("cleatgw-review-{case}-{}", std::process::id()));
-    if let Err(error) = std::fs::create_dir_all(&folder) {
-        eprintln!("no temporary folder: {error}");
+    let Ok(folder) = std::env::var("REVIEW_TEMP").map(PathBuf::from) else {
+        eprintln!("REVIEW_TEMP: expected a folder; review/N/run.sh makes one");
         std::process::exit(2);
-    }
+    };
     let record = match record::Record::create(&PathBuf::from(target).join("record.txt")) {
         Ok(record) => record,
         Err(error) => {
@@ -49,7 +48,7 @@
         }
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let setup = Setup { folder: folder.clone(), trouble };
+    let setup = Setup { folder, trouble };
     let outcome = match case.as_str() {
         "6" => case_6::play(&setup, &record),
         "7" => case_7::play(&setup, &record),
@@ -64,8 +63,5 @@
     };
     record.note(&text);
     println!("case {case}, trouble {trouble}: {text}");
-    if std::env::var("KEEP").is_err() {
-        let _ = std::fs::remove_dir_all(&folder);
-    }
     std::process::exit(code);
 }
--- a/review/stand-ins-2/src/router.rs
+++ b/review/stand-ins-2/src/router.rs
@@ -1,6 +1,7 @@
 //! Routers as processes of the real program, started as the deploy file starts them, with an operator's files.
 
 use std::fs::File;
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -65,6 +66,11 @@
             .stderr(log)
             .spawn();
         self.child = child.ok();
+        if let Some(child) = &self.child {
+            // The script ends what is listed here and still runs.
+            let pids = File::options().create(true).append(true).open(self.folder.join("pids"));
+            let _ = pids.and_then(|mut pids| writeln!(pids, "{}", child.id()));
+        }
     }
 
     /// Waits until the router answers COM_PING with OK.
